--- a/src/bin/elmchute-simhost.rs
+++ b/src/bin/poppykeel-simhost.rs
@@ -4,9 +4,9 @@
 
 #![forbid(unsafe_code)]
 
-use elmchute::interface::{Event, Seconds};
-use elmchute::wire::{self, Boot, Line, Row, Told};
-use elmchute::Brain;
+use poppykeel::interface::{Event, Seconds};
+use poppykeel::wire::{self, Boot, Line, Row, Told};
+use poppykeel::Brain;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
@@ -129,7 +129,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("elmchute-simhost: {text}");
+            eprintln!("poppykeel-simhost: {text}");
             ExitCode::FAILURE
         }
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,4 +1,4 @@
-//! Every decision of elmchute and every tunable; the types it speaks are in `interface.rs`.
+//! Every decision of poppykeel and every tunable; the types it speaks are in `interface.rs`.
 //!
 //! The ordinary path is Serving Fairness: arrival, early refusal, tier by worth, deficit round robin over
 //! tenants, earliest deadline within a tenant, release to a replica with window room, drawn by its reports.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
 //! Routing decisions for fleets of language-model servers.
 //!
-//! elmchute decides what a request router does: which held request leaves next, to which replica, what is
+//! poppykeel decides what a request router does: which held request leaves next, to which replica, what is
 //! refused early, and how failures are met. It does no input or output: the embedding program hands it
 //! events with the time of its own clock and carries out the actions it gets back.
 //!
 //! ```
-//! use elmchute::{interface::*, Brain};
+//! use poppykeel::{interface::*, Brain};
 //!
 //! # fn main() -> Result<(), SettingsError> {
 //! let class = Class {
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1,7 +1,7 @@
 //! The decision module alone: hand-made events in, actions out.
 
-use elmchute::interface::*;
-use elmchute::Brain;
+use poppykeel::interface::*;
+use poppykeel::Brain;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
