--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,7 +74,11 @@
 pub mod brain;
 #[allow(missing_docs)] // variants and fields that say all by their names
 pub mod interface;
+pub mod program;
+pub mod protocol;
+pub mod routing;
 mod state;
+pub mod transport;
 pub mod wire;
 
 pub use brain::Brain;
--- /dev/null
+++ b/src/program/config.rs
@@ -0,0 +1,141 @@
+//! The one place where configuration is read, checked and given defaults. Every error names its key.
+
+use crate::protocol::discovery::{self, Update};
+use crate::transport::Bounds;
+use crate::wire::Boot;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Limits where the configuration tells none: those of the smallest machine that a node runs on.
+const MEMORY_MB: u64 = 192;
+const SOCKETS: u64 = 1024;
+/// Descriptors kept for the listener, discovery, the runtime and clients being turned away.
+const SPARE_SOCKETS: u64 = 96;
+/// Less than this leaves no room for both sides.
+const LEAST_SOCKETS: u64 = 128;
+const LEAST_MEMORY_MB: u64 = 32;
+/// The part of the memory that bodies of requests may take: the rest is for connections and the program.
+const BODY_SHARE: u64 = 4;
+/// Buffers and tasks of one connection, generously.
+const CONNECTION_BYTES: u64 = 64 * 1024;
+/// Idle connections are dropped so long before the replica closes them, or half-way where that is less.
+const IDLE_MARGIN: f64 = 1.0;
+/// A client loses a stream that stays silent for 5 s: it is ended well before.
+const SILENCE: Duration = Duration::from_millis(3000);
+const STALL: Duration = Duration::from_secs(10);
+const CLIENT_IDLE: Duration = Duration::from_secs(75);
+const READ: Duration = Duration::from_secs(10);
+const PROBE: Duration = Duration::from_millis(250);
+/// Discovery is one slow service for all nodes: one long wait costs it less than many short ones.
+const WATCH: Duration = Duration::from_secs(20);
+const WATCH_SLACK: Duration = Duration::from_millis(1500);
+/// Clients keep coming for up to 0.4 s after the order to stop.
+const LINGER: Duration = Duration::from_millis(700);
+
+/// What a node is told.
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// The list as it last had it.
+    pub known: Option<Update>,
+    /// The settings.
+    pub boot: Boot,
+    /// The figures of the transport.
+    pub bounds: Bounds,
+}
+
+impl Config {
+    /// Reads the configuration. Values in `over` stand in place of the text's.
+    pub fn read(text: &str, over: &[(&str, Option<&str>)]) -> Result<Config, String> {
+        let v: Value = serde_json::from_str(text).map_err(|e| format!("config: expected JSON ({e})"))?;
+        let text_of = |key: &str| {
+            let given = over.iter().find(|o| o.0 == key).and_then(|o| o.1);
+            let value = given.or(v[key].as_str()).map(String::from);
+            value.ok_or(format!("config: {key}: expected text"))
+        };
+        let addr = |key: &str| {
+            let value = text_of(key)?;
+            value.parse().map_err(|_| format!("config: {key}: expected ADDRESS:PORT, not '{value}'"))
+        };
+        let limit = |key: &str, absent: u64, least: u64| match &v["limits"][key] {
+            Value::Null => Ok(absent),
+            value => value
+                .as_u64()
+                .filter(|n| *n >= least)
+                .ok_or(format!("config: limits.{key}: expected a whole number from {least}")),
+        };
+        if !v["settings"].is_object() {
+            return Err("config: settings: expected an object".into());
+        }
+        let boot =
+            Boot::read(&v["settings"].to_string()).map_err(|e| format!("config: settings: expected {e}"))?;
+        let known = match &v["known"] {
+            Value::Null => None,
+            known => Some(discovery::read(known, &boot).map_err(|e| format!("config: known.{e}"))?),
+        };
+        let memory = limit("memory_mb", MEMORY_MB, LEAST_MEMORY_MB)? << 20;
+        let sockets = limit("sockets", SOCKETS, LEAST_SOCKETS)? - SPARE_SOCKETS;
+        // The scored machines are the smallest: more is not needed, so larger ones are not used up either.
+        let half = sockets.min(memory / 2 / CONNECTION_BYTES) / 2;
+        let (dial, idle) = (boot.names.dial_timeout, boot.names.keep_alive);
+        for (key, value) in [("dialTimeout", dial), ("keepalive", idle)] {
+            if !(0.0..=86_400.0).contains(&value) {
+                return Err(format!("config: settings.limits.{key}: expected seconds, at most a day"));
+            }
+        }
+        let bounds = Bounds {
+            clients: half as usize,
+            upstream: half as usize,
+            held_bytes: (memory / BODY_SHARE) as usize,
+            dial: Duration::from_secs_f64(dial),
+            idle: Duration::from_secs_f64((idle - IDLE_MARGIN).max(idle / 2.0)),
+            silence: SILENCE,
+            stall: STALL,
+            client_idle: CLIENT_IDLE,
+            read: READ,
+            probe: PROBE,
+            watch: WATCH,
+            watch_slack: WATCH_SLACK,
+            linger: LINGER,
+        };
+        Ok(Config {
+            name: text_of("name")?,
+            listen: addr("listen")?,
+            discovery: addr("discovery")?,
+            seed: seed(&v["seed"])?,
+            known,
+            boot,
+            bounds,
+        })
+    }
+}
+
+fn seed(value: &Value) -> Result<u64, String> {
+    let read = match value {
+        Value::Null => Some(0),
+        Value::String(text) => u64::from_str_radix(text, 16).ok(),
+        other => other.as_u64(),
+    };
+    read.ok_or("config: seed: expected up to 16 hex digits".into())
+}
+
+impl std::fmt::Display for Config {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (s, b) = (&self.boot.settings, &self.bounds);
+        writeln!(f, "name {}, listen {}, discovery {}", self.name, self.listen, self.discovery)?;
+        let known = self.known.as_ref().map_or(0, |k| k.version());
+        writeln!(f, "router {} of {}, list version {known}", s.me + 1, s.routers)?;
+        write!(
+            f,
+            "at most {} client connections, {} replica connections, {} bytes of bodies",
+            b.clients, b.upstream, b.held_bytes
+        )
+    }
+}
--- /dev/null
+++ b/src/protocol/answer.rs
@@ -0,0 +1,123 @@
+//! A replica's answer: fed the parts of one message, it says what to pass on and how the attempt ended.
+
+use crate::interface::{Outcome, Report};
+use crate::protocol::events::Scan;
+use crate::protocol::http::{Head, Headers, Part, Start};
+use crate::wire::Boot;
+use bytes::{Bytes, BytesMut};
+use serde_json::Value;
+use std::rc::Rc;
+
+/// Bytes held back until the first event is complete; a longer one passes as it is.
+const MOST_HELD: usize = 64 * 1024;
+
+/// What an answer comes to, part by part.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// The first event is here: the stream begins, with this content type.
+    First(String),
+    /// Bytes for the client.
+    Pass(Bytes),
+    /// The attempt has ended.
+    Done(Outcome, Option<Report>),
+}
+
+/// Reads one answer.
+#[derive(Debug)]
+pub struct Answer {
+    boot: Rc<Boot>,
+    scan: Scan,
+    report: Option<Report>,
+    content_type: String,
+    started: bool,
+    done: bool,
+    held: BytesMut,
+}
+
+impl Answer {
+    /// Nothing has come yet.
+    pub fn new(boot: Rc<Boot>) -> Self {
+        let (scan, content_type, held) = Default::default();
+        Answer { boot, scan, report: None, content_type, started: false, done: false, held }
+    }
+
+    /// Takes the next part and appends what follows from it.
+    pub fn feed(&mut self, part: Part, steps: &mut Vec<Step>) {
+        match part {
+            _ if self.done => {}
+            Part::Head(head) => {
+                self.report = head.headers.get("srv-load").and_then(|v| report(v, &self.boot));
+                if let Some(outcome) = verdict(&head) {
+                    self.done = true;
+                    steps.push(Step::Done(outcome, self.report));
+                }
+                let kind = head.headers.get("content-type");
+                self.content_type = kind.unwrap_or("text/event-stream").to_string();
+            }
+            Part::Body(bytes) => {
+                self.scan.feed(&bytes, &self.boot);
+                if self.started {
+                    return steps.push(Step::Pass(bytes));
+                }
+                self.held.extend_from_slice(&bytes);
+                if self.scan.events() > 0 || self.held.len() > MOST_HELD {
+                    self.start(steps);
+                }
+            }
+            Part::End => {
+                if !self.started {
+                    self.start(steps);
+                }
+                self.done = true;
+                steps.push(Step::Done(Outcome::Served, self.scan.report().or(self.report)));
+            }
+        }
+    }
+
+    /// The connection broke, or ended before the answer did.
+    pub fn broke(&mut self, steps: &mut Vec<Step>) {
+        if !std::mem::replace(&mut self.done, true) {
+            steps.push(Step::Done(Outcome::Reset, self.scan.report().or(self.report)));
+        }
+    }
+
+    /// Whether the first event has passed.
+    pub fn started(&self) -> bool {
+        self.started
+    }
+
+    fn start(&mut self, steps: &mut Vec<Step>) {
+        self.started = true;
+        steps.push(Step::First(std::mem::take(&mut self.content_type)));
+        let held = std::mem::take(&mut self.held).freeze();
+        if !held.is_empty() {
+            steps.push(Step::Pass(held));
+        }
+    }
+}
+
+/// The outcome that a head alone tells; none where a stream follows. Only the replica's own word proves that
+/// the request never ran: a 503 without it may come from one that began.
+fn verdict(head: &Head) -> Option<Outcome> {
+    let declined = |h: &Headers| h.get("srv-declined").is_some_and(|v| v.trim() == "1");
+    match head.start {
+        Start::Status(200) => None,
+        Start::Status(503 | 504) if declined(&head.headers) => Some(Outcome::Full),
+        _ => Some(Outcome::Error),
+    }
+}
+
+/// A load report in JSON; none where it can't be read, since a bad report must not cost the answer.
+pub fn report(text: &str, boot: &Boot) -> Option<Report> {
+    let value: Value = serde_json::from_str(text).ok()?;
+    value.is_object().then(|| boot.report(|name| value[name].as_f64()))
+}
+
+/// The outcome of a probe by its status.
+pub fn probed(status: u16) -> Outcome {
+    if status == 200 {
+        Outcome::Served
+    } else {
+        Outcome::Error
+    }
+}
--- /dev/null
+++ b/src/protocol/events.rs
@@ -0,0 +1,55 @@
+//! The event stream of an answer, looked at while it passes: where its first event ends, and the load report
+//! in a comment line. Nothing is changed.
+
+use crate::interface::Report;
+use crate::protocol::answer::report;
+use crate::wire::Boot;
+
+/// Lines longer than this are events for certain and are not kept to be looked at.
+const MOST_LINE: usize = 4096;
+
+/// Follows one stream.
+#[derive(Debug, Default)]
+pub struct Scan {
+    line: Vec<u8>,
+    has_data: bool,
+    events: u64,
+    report: Option<Report>,
+}
+
+impl Scan {
+    /// Looks at the next bytes.
+    pub fn feed(&mut self, bytes: &[u8], boot: &Boot) {
+        for piece in bytes.split_inclusive(|b| *b == b'\n') {
+            let room = MOST_LINE.saturating_sub(self.line.len()).min(piece.len());
+            self.line.extend_from_slice(&piece[..room]);
+            if piece.ends_with(b"\n") {
+                let line = std::mem::take(&mut self.line);
+                self.take(line.trim_ascii_end(), boot);
+                self.line = line;
+                self.line.clear();
+            }
+        }
+    }
+
+    fn take(&mut self, line: &[u8], boot: &Boot) {
+        if line.is_empty() {
+            self.events += u64::from(std::mem::take(&mut self.has_data));
+        } else if let Some(comment) = line.strip_prefix(b":") {
+            let text = std::str::from_utf8(comment).unwrap_or_default().trim_start();
+            let value = text.split_once(':').filter(|(name, _)| name.eq_ignore_ascii_case("srv-load"));
+            self.report = value.and_then(|(_, value)| report(value, boot)).or(self.report);
+        } else {
+            self.has_data = true;
+        }
+    }
+
+    /// Complete events so far.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+    /// The newest load report.
+    pub fn report(&self) -> Option<Report> {
+        self.report
+    }
+}
--- /dev/null
+++ b/src/protocol/http.rs
@@ -0,0 +1,339 @@
+//! HTTP/1.1 as a codec for `Framed`: a head, then its body in pieces, then its end.
+//!
+//! Pieces are copied out of the read buffer as they come, so that one bounded buffer serves a connection for
+//! as long as it lives, whatever the size of the bodies that pass.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use std::io;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// The longest head that is read.
+pub const MOST_HEAD: usize = 16 * 1024;
+/// The most headers of one head.
+const MOST_HEADERS: usize = 64;
+/// The longest line that announces a chunk, and the longest trailer line.
+const MOST_LINE: usize = 4 * 1024;
+
+/// Header fields in the order in which they came.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Headers(Vec<(String, Vec<u8>)>);
+
+impl Headers {
+    /// The first value under a name, where it is text.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let found = self.0.iter().find(|h| h.0.eq_ignore_ascii_case(name));
+        found.and_then(|h| std::str::from_utf8(&h.1).ok())
+    }
+    /// All values under a name.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        self.iter().filter(move |h| h.0.eq_ignore_ascii_case(name)).map(|h| h.1)
+    }
+    /// Every field.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.0.iter().map(|h| (h.0.as_str(), h.1.as_slice()))
+    }
+    /// Whether a comma-separated field holds a word.
+    pub fn has(&self, name: &str, word: &str) -> bool {
+        let text = |v| std::str::from_utf8(v).unwrap_or_default();
+        self.all(name).flat_map(|v| text(v).split(',')).any(|w| w.trim().eq_ignore_ascii_case(word))
+    }
+}
+
+/// The first line of a message.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Start {
+    /// A request.
+    Request {
+        /// Its method.
+        method: String,
+        /// Path and query.
+        target: String,
+    },
+    /// An answer.
+    Status(u16),
+}
+
+/// The head of a message.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    /// Its first line.
+    pub start: Start,
+    /// Its fields.
+    pub headers: Headers,
+    /// The length of its body, where the head tells it.
+    pub length: Option<u64>,
+    /// Whether the connection may carry another message afterwards.
+    pub keep: bool,
+}
+
+/// What a decoder yields.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Part {
+    /// A message begins.
+    Head(Box<Head>),
+    /// The next bytes of its body.
+    Body(Bytes),
+    /// The message is complete.
+    End,
+}
+
+/// Why a message could not be read.
+#[derive(Debug)]
+pub enum Fault {
+    /// It breaks the framing.
+    Malformed(&'static str),
+    /// Its head is longer than is read here.
+    LongHead,
+    /// A version other than HTTP/1.1.
+    Version,
+    /// The connection ended inside it.
+    Cut,
+    /// The connection failed.
+    Io(io::Error),
+}
+
+impl From<io::Error> for Fault {
+    fn from(e: io::Error) -> Self {
+        Fault::Io(e)
+    }
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Fault::Malformed(what) => write!(f, "malformed message: {what}"),
+            Fault::LongHead => write!(f, "head longer than {MOST_HEAD} bytes or {MOST_HEADERS} fields"),
+            Fault::Version => write!(f, "only HTTP/1.1 is spoken here"),
+            Fault::Cut => write!(f, "the connection ended inside a message"),
+            Fault::Io(e) => write!(f, "{e}"),
+        }
+    }
+}
+
+/// Which end of a connection this is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Side {
+    /// Reads requests.
+    Server,
+    /// Reads answers.
+    Client,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Reading {
+    Head,
+    Fixed(u64),
+    ChunkLine,
+    Chunk(u64),
+    ChunkEnd,
+    Trailer,
+    ToClose,
+    Ended,
+}
+
+/// What an encoder takes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    /// Bytes as they are: a head, or a body of known length.
+    Raw(Bytes),
+    /// A piece of a chunked body.
+    Chunk(Bytes),
+    /// The end of a chunked body.
+    Last,
+}
+
+/// The codec of one connection.
+#[derive(Debug)]
+pub struct Http {
+    side: Side,
+    reading: Reading,
+}
+
+impl Http {
+    /// A codec at the start of a connection.
+    pub fn new(side: Side) -> Self {
+        Http { side, reading: Reading::Head }
+    }
+    /// Between two messages.
+    pub fn idle(&self) -> bool {
+        self.reading == Reading::Head
+    }
+
+    fn head(&mut self, src: &mut BytesMut) -> Result<Option<Part>, Fault> {
+        let mut fields = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let (start, version, parsed) = match self.side {
+            Side::Server => {
+                let mut r = httparse::Request::new(&mut fields);
+                let parsed = r.parse(src);
+                let (method, target) = (r.method.unwrap_or_default(), r.path.unwrap_or_default());
+                (Start::Request { method: method.into(), target: target.into() }, r.version, parsed)
+            }
+            Side::Client => {
+                let mut r = httparse::Response::new(&mut fields);
+                let parsed = r.parse(src);
+                (Start::Status(r.code.unwrap_or(0)), r.version, parsed)
+            }
+        };
+        let length = match parsed {
+            Ok(httparse::Status::Complete(length)) if length <= MOST_HEAD => length,
+            Ok(httparse::Status::Partial) if src.len() < MOST_HEAD => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Fault::LongHead),
+            Err(httparse::Error::Version) => return Err(Fault::Version),
+            Err(_) => return Err(Fault::Malformed("head")),
+        };
+        if version != Some(1) {
+            return Err(Fault::Version);
+        }
+        let set = fields.iter().take_while(|h| !h.name.is_empty());
+        let headers = Headers(set.map(|h| (h.name.to_string(), h.value.to_vec())).collect());
+        src.advance(length);
+        if matches!(start, Start::Status(100..=199)) {
+            return self.decode(src);
+        }
+        let (reading, length) = framing(&start, &headers)?;
+        self.reading = reading;
+        let keep = reading != Reading::ToClose && !headers.has("connection", "close");
+        Ok(Some(Part::Head(Box::new(Head { start, headers, length, keep }))))
+    }
+}
+
+/// How the body of a message ends. A length beside chunks is how requests are smuggled: it is refused.
+fn framing(start: &Start, headers: &Headers) -> Result<(Reading, Option<u64>), Fault> {
+    let mut length = None;
+    for value in headers.all("content-length") {
+        let digits = !value.is_empty() && value.len() < 19 && value.iter().all(u8::is_ascii_digit);
+        let text = std::str::from_utf8(value).ok().filter(|_| digits);
+        let value = text.and_then(|t| t.parse().ok()).ok_or(Fault::Malformed("Content-Length"))?;
+        if length.is_some_and(|l: u64| l != value) {
+            return Err(Fault::Malformed("two values of Content-Length"));
+        }
+        length = Some(value);
+    }
+    let mut codings = headers.all("transfer-encoding");
+    if let Some(coding) = codings.next() {
+        if length.is_some() {
+            return Err(Fault::Malformed("Content-Length with Transfer-Encoding"));
+        }
+        if !coding.eq_ignore_ascii_case(b"chunked") || codings.next().is_some() {
+            return Err(Fault::Malformed("Transfer-Encoding other than chunked"));
+        }
+        return Ok((Reading::ChunkLine, None));
+    }
+    Ok(match (start, length) {
+        (Start::Status(204 | 304), _) | (_, Some(0)) => (Reading::Ended, Some(0)),
+        (_, Some(length)) => (Reading::Fixed(length), Some(length)),
+        (Start::Request { .. }, None) => (Reading::Ended, Some(0)),
+        (Start::Status(_), None) => (Reading::ToClose, None),
+    })
+}
+
+/// Takes one line without its end, if it is there.
+fn line(src: &mut BytesMut) -> Result<Option<BytesMut>, Fault> {
+    let Some(end) = src.iter().position(|b| *b == b'\n') else {
+        return if src.len() > MOST_LINE { Err(Fault::Malformed("chunk line")) } else { Ok(None) };
+    };
+    let mut line = src.split_to(end + 1);
+    let ending = if line.ends_with(b"\r\n") { 2 } else { 1 };
+    line.truncate(line.len() - ending);
+    Ok(Some(line))
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64, Fault> {
+    let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
+    let hex = (1..16).contains(&digits.len()) && digits.iter().all(u8::is_ascii_hexdigit);
+    let text = std::str::from_utf8(digits).ok().filter(|_| hex);
+    text.and_then(|t| u64::from_str_radix(t, 16).ok()).ok_or(Fault::Malformed("chunk size"))
+}
+
+fn take(src: &mut BytesMut, left: u64) -> Bytes {
+    let n = usize::try_from(left).unwrap_or(usize::MAX).min(src.len());
+    let piece = Bytes::copy_from_slice(&src[..n]);
+    src.advance(n);
+    piece
+}
+
+impl Decoder for Http {
+    type Item = Part;
+    type Error = Fault;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Part>, Fault> {
+        loop {
+            match self.reading {
+                Reading::Head if src.is_empty() => return Ok(None),
+                Reading::Head => return self.head(src),
+                Reading::Ended => {
+                    self.reading = Reading::Head;
+                    return Ok(Some(Part::End));
+                }
+                Reading::ChunkLine => {
+                    let Some(line) = line(src)? else { return Ok(None) };
+                    let size = chunk_size(&line)?;
+                    self.reading = if size == 0 { Reading::Trailer } else { Reading::Chunk(size) };
+                }
+                Reading::Trailer => {
+                    let Some(line) = line(src)? else { return Ok(None) };
+                    if line.is_empty() {
+                        self.reading = Reading::Ended;
+                    }
+                }
+                Reading::ChunkEnd => {
+                    if src.len() < 2 {
+                        return Ok(None);
+                    }
+                    if &src[..2] != b"\r\n" {
+                        return Err(Fault::Malformed("end of a chunk"));
+                    }
+                    src.advance(2);
+                    self.reading = Reading::ChunkLine;
+                }
+                _ if src.is_empty() => return Ok(None),
+                Reading::ToClose => return Ok(Some(Part::Body(take(src, u64::MAX)))),
+                Reading::Fixed(left) => {
+                    let piece = take(src, left);
+                    let left = left - piece.len() as u64;
+                    self.reading = if left == 0 { Reading::Ended } else { Reading::Fixed(left) };
+                    return Ok(Some(Part::Body(piece)));
+                }
+                Reading::Chunk(left) => {
+                    let piece = take(src, left);
+                    let left = left - piece.len() as u64;
+                    self.reading = if left == 0 { Reading::ChunkEnd } else { Reading::Chunk(left) };
+                    return Ok(Some(Part::Body(piece)));
+                }
+            }
+        }
+    }
+
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Part>, Fault> {
+        if let Some(part) = self.decode(src)? {
+            return Ok(Some(part));
+        }
+        match self.reading {
+            Reading::ToClose => {
+                self.reading = Reading::Head;
+                Ok(Some(Part::End))
+            }
+            Reading::Head if src.is_empty() => Ok(None),
+            _ => Err(Fault::Cut),
+        }
+    }
+}
+
+impl Encoder<Out> for Http {
+    type Error = Fault;
+
+    fn encode(&mut self, item: Out, dst: &mut BytesMut) -> Result<(), Fault> {
+        match item {
+            Out::Raw(bytes) => dst.extend_from_slice(&bytes),
+            // A chunk of no bytes would end the body.
+            Out::Chunk(bytes) if bytes.is_empty() => {}
+            Out::Chunk(bytes) => {
+                dst.put_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
+                dst.put_slice(&bytes);
+                dst.put_slice(b"\r\n");
+            }
+            Out::Last => dst.put_slice(b"0\r\n\r\n"),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,378 @@
+//! The core: it owns the module, the requests, their attempts and all timers. Events with a time come in,
+//! commands go out; it knows no socket and no HTTP. Everything that is decided is decided by the module.
+
+use crate::interface::*;
+use crate::Brain;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Microseconds on the monotonic clock.
+pub type Micros = u64;
+
+/// What the drivers tell.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// A client's request is complete.
+    Arrived(Arrival),
+    /// Its client has left.
+    ClientGone(RequestId),
+    /// The first event of an attempt's answer is here.
+    First {
+        /// The request.
+        request: RequestId,
+        /// Its attempt.
+        attempt: usize,
+    },
+    /// An attempt has ended by itself.
+    Ended {
+        /// The request.
+        request: RequestId,
+        /// Its attempt.
+        attempt: usize,
+        /// How.
+        outcome: Outcome,
+        /// The load report that came with it.
+        report: Option<Report>,
+    },
+    /// A probe has ended.
+    Probed {
+        /// Where it went.
+        replica: ReplicaId,
+        /// How it ended.
+        outcome: Outcome,
+        /// The load report that came with it.
+        report: Option<Report>,
+    },
+    /// News of the list.
+    List {
+        /// The entries.
+        list: Vec<Listing>,
+        /// What it lacks is gone.
+        full: bool,
+    },
+    /// The watch has broken.
+    ListFailed,
+}
+
+/// What the drivers are to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Send a request to a replica, to be answered by then.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: usize,
+        /// Where to.
+        replica: ReplicaId,
+        /// When its time is out.
+        until: Micros,
+    },
+    /// Close the connection of an attempt; nothing it still says counts.
+    Abandon {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: usize,
+    },
+    /// The client's answer is the stream of this attempt.
+    Bind {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: usize,
+    },
+    /// Turn the client away, now.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// When it may come again.
+        retry_after: Micros,
+    },
+    /// Tell the client that its request failed.
+    Fail {
+        /// The request.
+        request: RequestId,
+    },
+    /// Ask a replica how it is.
+    Probe {
+        /// Which.
+        replica: ReplicaId,
+    },
+    /// Watch the list from now on.
+    Watch,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    Waiting,
+    Streaming,
+    Ended,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    sent: Micros,
+    until: Micros,
+    stage: Stage,
+}
+
+#[derive(Debug, Default)]
+struct Live {
+    attempts: Vec<Attempt>,
+    /// The final answer is given, or begun, or nobody waits for it.
+    answered: bool,
+    finished: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Wake,
+    Timeout(RequestId, usize),
+}
+
+/// Figures for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counts {
+    /// Requests taken.
+    pub arrived: u64,
+    /// Streams passed on to their end.
+    pub served: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Requests failed.
+    pub failed: u64,
+    /// Streams that broke after their first event.
+    pub broken: u64,
+    /// Clients that left.
+    pub gone: u64,
+    /// Attempts sent.
+    pub sent: u64,
+    /// Attempts that ended as error, full, timed out, connect failed, reset and cancelled.
+    pub ends: [u64; 6],
+}
+
+/// The core of one node.
+pub struct Router {
+    brain: Brain,
+    live: BTreeMap<RequestId, Live>,
+    timers: BTreeSet<(Micros, Due)>,
+    told: VecDeque<Event>,
+    counts: Counts,
+}
+
+impl Router {
+    /// A core around a module that has been told nothing yet.
+    pub fn new(brain: Brain) -> Self {
+        let (live, timers, told, counts) = Default::default();
+        Router { brain, live, timers, told, counts }
+    }
+
+    /// Whether this id is in use: an id names one request at a time.
+    pub fn is_live(&self, id: RequestId) -> bool {
+        self.live.contains_key(&id)
+    }
+    /// Requests that still await something.
+    pub fn live(&self) -> usize {
+        self.live.len()
+    }
+    /// What has happened so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+    /// When `turn` must be called next, if nothing comes before.
+    pub fn due(&self) -> Option<Micros> {
+        self.timers.first().map(|t| t.0)
+    }
+
+    /// Lets the timers run that are due.
+    pub fn turn(&mut self, now: Micros, out: &mut Vec<Command>) {
+        while let Some((_, due)) = self.timers.first().copied().filter(|t| t.0 <= now) {
+            self.timers.pop_first();
+            match due {
+                Due::Wake => self.told.push_back(Event::Woke),
+                Due::Timeout(request, attempt) => {
+                    out.push(Command::Abandon { request, attempt });
+                    self.end(request, attempt, Outcome::TimedOut, None);
+                }
+            }
+            self.decide(now, out);
+        }
+    }
+
+    /// Takes one event.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
+        match input {
+            Input::Arrived(arrival) => {
+                if self.live.contains_key(&arrival.id) {
+                    return;
+                }
+                self.counts.arrived += 1;
+                self.live.insert(arrival.id, Live::default());
+                self.told.push_back(Event::Arrived(arrival));
+            }
+            Input::ClientGone(id) => {
+                let Some(live) = self.live.get_mut(&id).filter(|l| !l.finished) else { return };
+                (live.answered, live.finished) = (true, true);
+                self.counts.gone += 1;
+                self.told.push_back(Event::ClientGone(id));
+                // Nobody is left to read the stream: the replica is told by the closed connection.
+                for attempt in 0..self.live[&id].attempts.len() {
+                    self.abandon(id, attempt, out);
+                }
+            }
+            Input::First { request, attempt } => {
+                let Some(live) = self.live.get_mut(&request) else { return };
+                let answered = live.answered;
+                let Some(a) = live.attempts.get_mut(attempt).filter(|a| a.stage == Stage::Waiting) else {
+                    return;
+                };
+                if answered {
+                    // Another attempt has the client: a second answer must not follow.
+                    self.abandon(request, attempt, out);
+                } else {
+                    a.stage = Stage::Streaming;
+                    // From here on the deadline is off.
+                    self.timers.remove(&(a.until, Due::Timeout(request, attempt)));
+                    let elapsed = seconds(now.saturating_sub(a.sent));
+                    live.answered = true;
+                    out.push(Command::Bind { request, attempt });
+                    self.told.push_back(Event::Started { request, attempt, elapsed });
+                }
+            }
+            Input::Ended { request, attempt, outcome, report } => {
+                self.end(request, attempt, outcome, report);
+            }
+            Input::Probed { replica, outcome, report } => {
+                self.told.push_back(Event::Probed { replica, outcome, report });
+            }
+            Input::List { list, full: true } => self.told.push_back(Event::ListFull(list)),
+            Input::List { list, full: false } => self.told.push_back(Event::ListChanged(list)),
+            Input::ListFailed => self.told.push_back(Event::ListFailed),
+        }
+        self.decide(now, out);
+    }
+
+    /// The one place where an attempt ends, so that the module hears of each end once.
+    fn end(&mut self, request: RequestId, attempt: usize, outcome: Outcome, report: Option<Report>) {
+        let Some(live) = self.live.get_mut(&request) else { return };
+        let Some(a) = live.attempts.get_mut(attempt).filter(|a| a.stage != Stage::Ended) else { return };
+        let streaming = a.stage == Stage::Streaming;
+        a.stage = Stage::Ended;
+        self.timers.remove(&(a.until, Due::Timeout(request, attempt)));
+        if streaming && !live.finished {
+            // The end of a stream is the end of its request, also where it broke.
+            live.finished = true;
+            match outcome {
+                Outcome::Served => self.counts.served += 1,
+                _ => self.counts.broken += 1,
+            }
+        }
+        let kinds = [
+            Outcome::Error,
+            Outcome::Full,
+            Outcome::TimedOut,
+            Outcome::ConnectFailed,
+            Outcome::Reset,
+            Outcome::Cancelled,
+        ];
+        if let Some(kind) = kinds.iter().position(|k| *k == outcome) {
+            self.counts.ends[kind] += 1;
+        }
+        let last = live.finished;
+        self.told.push_back(Event::Ended { request, attempt, outcome, last, report });
+    }
+
+    fn abandon(&mut self, request: RequestId, attempt: usize, out: &mut Vec<Command>) {
+        let Some(a) = self.live.get(&request).and_then(|l| l.attempts.get(attempt)) else { return };
+        if a.stage != Stage::Ended {
+            out.push(Command::Abandon { request, attempt });
+            self.end(request, attempt, Outcome::Cancelled, None);
+        }
+    }
+
+    /// Tells the module what has happened until nothing follows from it any more.
+    fn decide(&mut self, now: Micros, out: &mut Vec<Command>) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.told.pop_front() {
+            let request = match &event {
+                Event::Ended { request, .. } | Event::ClientGone(request) => Some(*request),
+                _ => None,
+            };
+            self.brain.handle(seconds(now), event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, out);
+            }
+            if let Some(id) = request {
+                self.forget(id);
+            }
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action, out: &mut Vec<Command>) {
+        match action {
+            Action::Send { request, replica, timeout } => {
+                let Some(live) = self.live.get_mut(&request) else { return };
+                let attempt = live.attempts.len();
+                let until = now.saturating_add(micros(timeout));
+                live.attempts.push(Attempt { sent: now, until, stage: Stage::Waiting });
+                if live.answered {
+                    return self.end(request, attempt, Outcome::Moot, None);
+                }
+                self.counts.sent += 1;
+                self.timers.insert((until, Due::Timeout(request, attempt)));
+                out.push(Command::Send { request, attempt, replica, until });
+            }
+            Action::Refuse { request, retry_after } => {
+                if self.answer(request) {
+                    self.counts.refused += 1;
+                    out.push(Command::Refuse { request, retry_after: micros(retry_after) });
+                }
+                self.forget(request);
+            }
+            Action::Fail { request } => {
+                if self.answer(request) {
+                    self.counts.failed += 1;
+                    out.push(Command::Fail { request });
+                }
+                self.forget(request);
+            }
+            Action::Cancel { request, attempt } => {
+                let attempts = self.live.get(&request).map(|l| &l.attempts);
+                let stage = attempts.and_then(|a| a.get(attempt)).map(|a| a.stage);
+                // A stream that has begun belongs to its client and is not called off.
+                if stage == Some(Stage::Waiting) {
+                    self.abandon(request, attempt, out);
+                }
+            }
+            Action::Probe { replica } => out.push(Command::Probe { replica }),
+            Action::Subscribe => out.push(Command::Watch),
+            Action::Wake { after } => {
+                self.timers.insert((now.saturating_add(micros(after)), Due::Wake));
+            }
+        }
+    }
+
+    /// Marks a request as answered by the node itself; false where it has its answer already.
+    fn answer(&mut self, id: RequestId) -> bool {
+        let Some(live) = self.live.get_mut(&id).filter(|l| !l.answered) else { return false };
+        (live.answered, live.finished) = (true, true);
+        true
+    }
+
+    /// A finished request stays until its last attempt has ended, and its timers go with it.
+    fn forget(&mut self, id: RequestId) {
+        let Some(live) = self.live.get(&id) else { return };
+        if live.finished && live.attempts.iter().all(|a| a.stage == Stage::Ended) {
+            self.live.remove(&id);
+        }
+    }
+}
+
+fn seconds(time: Micros) -> Seconds {
+    time as f64 / 1e6
+}
+
+/// A span of the module's; what is no time counts as none.
+fn micros(span: Seconds) -> Micros {
+    (span.max(0.0) * 1e6) as Micros
+}
--- /dev/null
+++ b/src/transport/client.rs
@@ -0,0 +1,372 @@
+//! One client's connection: requests one after the other, each with one answer.
+
+use super::hub::{Answer, Message, Payload};
+use super::listener::Phase;
+use super::upstream::Piece;
+use super::{Bounds, Wire};
+use crate::interface::RequestId;
+use crate::protocol::http::{Fault, Head, Http, Out, Part, Side};
+use crate::protocol::request::{self, Reject, Route, MOST_BODY};
+use crate::routing::Input;
+use crate::wire::Boot;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio_util::codec::Framed;
+
+/// After a last answer so much is still read, and for so long, so that the answer is not lost to a reset.
+const DISCARD: usize = 2 * MOST_BODY;
+const DISCARD_FOR: Duration = Duration::from_secs(1);
+/// When a client may come again that found no room for its body.
+const AGAIN_US: u64 = 500_000;
+
+/// What all clients' connections share.
+pub struct Shared {
+    /// The settings.
+    pub boot: Rc<Boot>,
+    /// The figures.
+    pub bounds: Rc<Bounds>,
+    /// To the core.
+    pub tell: mpsc::Sender<Message>,
+    /// How far the node's life has come.
+    pub phase: watch::Receiver<Phase>,
+    held: Cell<usize>,
+    open: Cell<usize>,
+    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    marks: Cell<u64>,
+}
+
+impl Shared {
+    /// Nobody is connected yet.
+    pub fn new(
+        boot: Rc<Boot>,
+        bounds: Rc<Bounds>,
+        tell: mpsc::Sender<Message>,
+        phase: watch::Receiver<Phase>,
+    ) -> Self {
+        let (held, open, idle, marks) = Default::default();
+        Shared { boot, bounds, tell, phase, held, open, idle, marks }
+    }
+    /// As many connections are open as may be.
+    pub fn full(&self) -> bool {
+        self.open.get() >= self.bounds.clients
+    }
+    /// One above the bound may come in while one below it is on its way out.
+    pub fn can_evict(&self) -> bool {
+        self.open.get() < self.bounds.clients + MOST_LEAVING && self.evict()
+    }
+    /// Tells the connection that has been idle longest to go; false where all are busy.
+    pub fn evict(&self) -> bool {
+        let oldest = self.idle.borrow_mut().pop_first();
+        oldest.inspect(|(_, leave)| leave.notify_one()).is_some()
+    }
+    /// Client connections open now.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+}
+
+/// Connections that have been told to go and have not gone yet.
+const MOST_LEAVING: usize = 16;
+
+/// Bytes of one body, counted against the bound while they are held.
+struct Hold(Rc<Shared>, usize);
+
+impl Hold {
+    fn more(&mut self, bytes: usize) -> bool {
+        let held = self.0.held.get() + bytes;
+        if held > self.0.bounds.held_bytes {
+            return false;
+        }
+        self.0.held.set(held);
+        self.1 += bytes;
+        true
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.0.held.set(self.0.held.get() - self.1);
+    }
+}
+
+/// The driver of one connection.
+pub struct Client {
+    wire: Wire,
+    shared: Rc<Shared>,
+    /// What was read ahead while an answer was awaited.
+    ahead: Option<Part>,
+}
+
+/// Why a connection ends.
+struct Leave;
+
+impl From<Fault> for Leave {
+    fn from(_: Fault) -> Self {
+        Leave
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.shared.open.set(self.shared.open.get() - 1);
+    }
+}
+
+impl Client {
+    /// A connection that has just been accepted.
+    pub fn new(socket: TcpStream, shared: Rc<Shared>) -> Self {
+        shared.open.set(shared.open.get() + 1);
+        Client { wire: Framed::new(socket, Http::new(Side::Server)), shared, ahead: None }
+    }
+
+    /// Serves requests until either side has had enough.
+    pub async fn run(mut self) {
+        while let Ok(Some(head)) = self.next_head().await {
+            if self.serve(*head).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn last(&self) -> bool {
+        *self.shared.phase.borrow() > Phase::Serving
+    }
+
+    async fn next_head(&mut self) -> Result<Option<Box<Head>>, Leave> {
+        if let Some(Part::Head(head)) = self.ahead.take() {
+            return Ok(Some(head));
+        }
+        let mark = self.shared.marks.get() + 1;
+        self.shared.marks.set(mark);
+        let leave = Rc::new(Notify::new());
+        self.shared.idle.borrow_mut().insert(mark, leave.clone());
+        let mut phase = self.shared.phase.clone();
+        let next = tokio::select! {
+            biased;
+            next = self.wire.next() => next,
+            _ = phase.wait_for(|p| *p == Phase::Closing) => None,
+            () = leave.notified() => None,
+            () = tokio::time::sleep(self.shared.bounds.client_idle) => None,
+        };
+        self.shared.idle.borrow_mut().remove(&mark);
+        match next {
+            Some(Ok(Part::Head(head))) => Ok(Some(head)),
+            Some(Err(fault)) => self.fault(fault).await.map(|()| None),
+            _ => Ok(None),
+        }
+    }
+
+    /// Answers what can't be read, where there is anyone to answer.
+    async fn fault(&mut self, fault: Fault) -> Result<(), Leave> {
+        let status = match &fault {
+            Fault::Malformed(_) => 400,
+            Fault::LongHead => 431,
+            Fault::Version => 505,
+            Fault::Cut | Fault::Io(_) => return Err(Leave),
+        };
+        self.turn_down(Reject { status, reason: fault.to_string() }, None).await
+    }
+
+    /// The last answer on this connection.
+    async fn turn_down(&mut self, reject: Reject, retry_after: Option<u64>) -> Result<(), Leave> {
+        self.send(Out::Raw(request::own_answer(reject.status, &reject.reason, retry_after, true))).await?;
+        let socket = self.wire.get_mut();
+        let _ = socket.shutdown().await;
+        let _ = tokio::time::timeout(DISCARD_FOR, discard(socket)).await;
+        Err(Leave)
+    }
+
+    async fn send(&mut self, out: Out) -> Result<(), Leave> {
+        self.feed(out).await?;
+        self.flush().await
+    }
+
+    /// A client that takes nothing any more must not hold a replica's stream for ever: both that may wait for
+    /// it have a limit.
+    async fn feed(&mut self, out: Out) -> Result<(), Leave> {
+        let fed = tokio::time::timeout(self.shared.bounds.stall, self.wire.feed(out)).await;
+        Ok(fed.map_err(|_| Leave)??)
+    }
+
+    async fn flush(&mut self) -> Result<(), Leave> {
+        let flushed = tokio::time::timeout(self.shared.bounds.stall, self.wire.flush()).await;
+        Ok(flushed.map_err(|_| Leave)??)
+    }
+
+    async fn serve(&mut self, head: Head) -> Result<(), Leave> {
+        let route = match request::route(&head) {
+            Ok(route) => route,
+            Err(reject) => return self.turn_down(reject, None).await,
+        };
+        let mut hold = Hold(self.shared.clone(), 0);
+        let body = match self.read(&head, &mut hold).await? {
+            Ok(body) => body,
+            Err((reject, retry_after)) => return self.turn_down(reject, retry_after).await,
+        };
+        let close = self.last() || !head.keep;
+        if route == Route::Health {
+            let (status, text) = if self.last() { (503, "draining") } else { (200, "ok") };
+            self.send(Out::Raw(request::own_answer(status, text, None, close))).await?;
+            return if close { Err(Leave) } else { Ok(()) };
+        }
+        let arrival = match request::arrival(&head.headers, &self.shared.boot.names, body.len()) {
+            Ok(arrival) => arrival,
+            Err(reject) => return self.turn_down(reject, None).await,
+        };
+        let id = arrival.id;
+        let payload = Payload { head: request::upstream_head(&head, body.len()), body };
+        let (answer, answered) = oneshot::channel();
+        self.shared.tell.send(Message::Request { arrival, payload, answer }).await.map_err(|_| Leave)?;
+        let Ok(answer) = self.until_gone(answered).await else { return self.gone(id).await };
+        let answer = answer.map_err(|_| Leave)?;
+        let close = self.last() || !head.keep;
+        let (content_type, body) = match answer {
+            Answer::Stream { content_type, body } => (content_type, body),
+            Answer::Duplicate => {
+                let reason = "Req-Id is that of a request still being served".to_string();
+                return self.turn_down(Reject { status: 400, reason }, None).await;
+            }
+            Answer::Refused(wait) => {
+                let text = "no replica has room for this request now";
+                self.send(Out::Raw(request::own_answer(503, text, Some(wait), close))).await?;
+                return if close { Err(Leave) } else { Ok(()) };
+            }
+            Answer::Failed => {
+                let text = "the replicas failed this request";
+                self.send(Out::Raw(request::own_answer(502, text, None, close))).await?;
+                return if close { Err(Leave) } else { Ok(()) };
+            }
+        };
+        drop(hold);
+        match self.stream(&content_type, body, close).await {
+            Ok(true) if !close => Ok(()),
+            Ok(true) => Err(Leave),
+            // Without the last chunk: the client sees that the stream is not whole.
+            Ok(false) => Err(Leave),
+            Err(Leave) => self.gone(id).await,
+        }
+    }
+
+    /// Tells the core that nobody waits for this request any more.
+    async fn gone(&mut self, id: RequestId) -> Result<(), Leave> {
+        let _ = self.shared.tell.send(Input::ClientGone(id).into()).await;
+        Err(Leave)
+    }
+
+    /// Reads a body, within its own limit and that of all bodies together.
+    #[allow(clippy::type_complexity)]
+    async fn read(
+        &mut self,
+        head: &Head,
+        hold: &mut Hold,
+    ) -> Result<Result<Bytes, (Reject, Option<u64>)>, Leave> {
+        let too_long =
+            || Reject { status: 413, reason: format!("the body is longer than {MOST_BODY} bytes") };
+        let expected = head.length.unwrap_or(0);
+        if expected > MOST_BODY as u64 {
+            return Ok(Err((too_long(), None)));
+        }
+        if head.headers.has("expect", "100-continue") {
+            self.send(Out::Raw(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"))).await?;
+        }
+        let until = tokio::time::Instant::now() + self.shared.bounds.read;
+        let mut body = Vec::with_capacity(expected as usize);
+        loop {
+            let part = match tokio::time::timeout_at(until, self.wire.next()).await {
+                Ok(Some(Ok(part))) => part,
+                Ok(Some(Err(fault))) => {
+                    self.fault(fault).await?;
+                    return Err(Leave);
+                }
+                Ok(None) => return Err(Leave),
+                Err(_) => {
+                    let reason = "the request took too long to come".to_string();
+                    return Ok(Err((Reject { status: 408, reason }, None)));
+                }
+            };
+            match part {
+                Part::Body(bytes) if body.len() + bytes.len() > MOST_BODY => {
+                    return Ok(Err((too_long(), None)));
+                }
+                Part::Body(bytes) if hold.more(bytes.len()) => body.extend_from_slice(&bytes),
+                Part::Body(_) => {
+                    let reason = "this node holds as many requests as it may".to_string();
+                    return Ok(Err((Reject { status: 503, reason }, Some(AGAIN_US))));
+                }
+                Part::End => return Ok(Ok(body.into())),
+                Part::Head(_) => return Err(Leave),
+            }
+        }
+    }
+
+    /// Waits for something while the client is there; an error says that it has left.
+    async fn until_gone<T>(&mut self, wait: impl std::future::Future<Output = T>) -> Result<T, Leave> {
+        tokio::pin!(wait);
+        loop {
+            if self.ahead.is_some() {
+                // The next request is here already; it waits its turn, and nothing more is read.
+                return Ok(wait.await);
+            }
+            tokio::select! {
+                biased;
+                done = &mut wait => return Ok(done),
+                read = self.wire.next() => match read {
+                    Some(Ok(part)) => self.ahead = Some(part),
+                    _ => return Err(Leave),
+                },
+            }
+        }
+    }
+
+    /// Passes a stream on as it comes; false where it broke.
+    async fn stream(
+        &mut self,
+        content_type: &str,
+        mut body: mpsc::Receiver<Piece>,
+        close: bool,
+    ) -> Result<bool, Leave> {
+        self.feed(Out::Raw(request::stream_head(content_type, close))).await?;
+        loop {
+            let mut next = self.until_gone(body.recv()).await?;
+            // What has come together goes out together.
+            loop {
+                match next {
+                    Some(Piece::Bytes(bytes)) => self.feed(Out::Chunk(bytes)).await?,
+                    Some(Piece::End) => {
+                        self.send(Out::Last).await?;
+                        return Ok(true);
+                    }
+                    None => {
+                        self.flush().await?;
+                        return Ok(false);
+                    }
+                }
+                match body.try_recv() {
+                    Ok(piece) => next = Some(piece),
+                    Err(mpsc::error::TryRecvError::Empty) => break,
+                    Err(mpsc::error::TryRecvError::Disconnected) => next = None,
+                }
+            }
+            self.flush().await?;
+        }
+    }
+}
+
+/// Reads and forgets, up to a bound, until the other side has closed.
+pub async fn discard(socket: &mut TcpStream) {
+    let mut scrap = [0; 4096];
+    let mut left = DISCARD;
+    while let Ok(n @ 1..) = socket.read(&mut scrap).await {
+        left = left.saturating_sub(n);
+        if left == 0 {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/discovery.rs
@@ -0,0 +1,113 @@
+//! The watch of discovery's list: one call after the other on one connection, each with a time limit of its
+//! own. A call that fails ends the watch; when it starts again is the module's to say.
+
+use super::hub::Message;
+use super::{Bounds, Wire};
+use crate::protocol::discovery::{read, Update};
+use crate::protocol::http::{Http, Out, Part, Side, Start};
+use crate::protocol::request;
+use crate::routing::Input;
+use crate::wire::Boot;
+use futures_util::{SinkExt, StreamExt};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio_util::codec::Framed;
+
+/// The longest answer that is read.
+const MOST_LIST: usize = 4 * 1024 * 1024;
+
+/// The watch of one node.
+#[derive(Clone)]
+pub struct Watch {
+    addr: SocketAddr,
+    boot: Rc<Boot>,
+    bounds: Rc<Bounds>,
+    tell: mpsc::Sender<Message>,
+    running: Rc<Cell<bool>>,
+    version: Rc<Cell<u64>>,
+}
+
+impl Watch {
+    /// A watch that has not begun.
+    pub fn new(addr: SocketAddr, boot: Rc<Boot>, bounds: Rc<Bounds>, tell: mpsc::Sender<Message>) -> Self {
+        let (running, version) = Default::default();
+        Watch { addr, boot, bounds, tell, running, version }
+    }
+
+    /// The list that the node has now.
+    pub fn version(&self, version: u64) {
+        self.version.set(version);
+    }
+
+    /// Begins, unless it is running.
+    pub fn start(&self) {
+        if !self.running.replace(true) {
+            tokio::task::spawn_local(self.clone().run());
+        }
+    }
+
+    async fn run(self) {
+        let mut wire = None;
+        let limit = self.bounds.watch + self.bounds.watch_slack;
+        let why = loop {
+            match tokio::time::timeout(limit, self.call(&mut wire)).await {
+                Ok(Ok(update)) => {
+                    // The version is set before the next call goes out, whenever the core gets to it.
+                    self.version.set(update.version());
+                    if self.tell.send(Message::List(update)).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(Err(why)) => break why,
+                Err(_) => break "no answer in time".to_string(),
+            }
+        };
+        tracing::warn!("discovery: {why}");
+        self.running.set(false);
+        let _ = self.tell.send(Input::ListFailed.into()).await;
+    }
+
+    async fn call(&self, wire: &mut Option<Wire>) -> Result<Update, String> {
+        let mut conn = match wire.take() {
+            Some(conn) => conn,
+            None => {
+                let socket =
+                    tokio::time::timeout(self.bounds.watch_slack, TcpStream::connect(self.addr)).await;
+                let socket = socket.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
+                let _ = socket.set_nodelay(true);
+                Framed::new(socket, Http::new(Side::Client))
+            }
+        };
+        let (since, wait) = (self.version.get(), self.bounds.watch.as_millis());
+        let target = format!("/v1/servers?since={since}&timeout_ms={wait}");
+        let get = request::get(&target, &self.addr.to_string());
+        conn.send(Out::Raw(get)).await.map_err(|e| e.to_string())?;
+        let (mut status, mut keep, mut body) = (0, false, Vec::new());
+        loop {
+            match conn.next().await {
+                Some(Ok(Part::Head(head))) => {
+                    keep = head.keep;
+                    status = if let Start::Status(status) = head.start { status } else { 0 };
+                }
+                Some(Ok(Part::Body(bytes))) if body.len() + bytes.len() <= MOST_LIST => {
+                    body.extend_from_slice(&bytes);
+                }
+                Some(Ok(Part::Body(_))) => return Err("answer too long".into()),
+                Some(Ok(Part::End)) => break,
+                Some(Err(e)) => return Err(e.to_string()),
+                None => return Err("connection closed".into()),
+            }
+        }
+        if status != 200 {
+            return Err(format!("status {status}"));
+        }
+        if keep {
+            *wire = Some(conn);
+        }
+        let value = serde_json::from_slice(&body).map_err(|e| format!("answer not in JSON ({e})"))?;
+        read(&value, &self.boot)
+    }
+}
--- /dev/null
+++ b/src/transport/hub.rs
@@ -0,0 +1,219 @@
+//! The loop round the core: it reads the clock once a turn, feeds what has come, and carries out commands.
+
+use super::clock::Clock;
+use super::discovery::Watch;
+use super::upstream::{Job, Piece, Upstream};
+use crate::interface::{Arrival, RequestId};
+use crate::protocol::discovery::{Directory, Update};
+use crate::routing::{Command, Input, Micros, Router};
+use bytes::Bytes;
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+
+/// Messages taken in one turn.
+const TURN: usize = 256;
+
+/// A client's request as it goes to replicas.
+pub struct Payload {
+    /// The head, but for the deadline.
+    pub head: Vec<u8>,
+    /// The body, unchanged.
+    pub body: Bytes,
+}
+
+/// What a client's driver is told.
+pub enum Answer {
+    /// Turned away until then.
+    Refused(Micros),
+    /// Failed.
+    Failed,
+    /// Another request of this id is live.
+    Duplicate,
+    /// The stream begins.
+    Stream {
+        /// Its content type.
+        content_type: String,
+        /// Its bytes.
+        body: mpsc::Receiver<Piece>,
+    },
+}
+
+/// What drivers tell the hub.
+pub enum Message {
+    /// For the core as it is.
+    Input(Input),
+    /// A request and where its answer goes.
+    Request {
+        /// What the module is told.
+        arrival: Arrival,
+        /// What replicas are sent.
+        payload: Payload,
+        /// To the client's driver.
+        answer: oneshot::Sender<Answer>,
+    },
+    /// The first event of an attempt.
+    First {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: usize,
+        /// The stream's content type.
+        content_type: String,
+        /// The stream's bytes.
+        body: mpsc::Receiver<Piece>,
+    },
+    /// Discovery's newest answer.
+    List(Update),
+}
+
+impl From<Input> for Message {
+    fn from(input: Input) -> Self {
+        Message::Input(input)
+    }
+}
+
+struct Client {
+    payload: Rc<Payload>,
+    answer: oneshot::Sender<Answer>,
+}
+
+/// The hub of one node.
+pub struct Hub {
+    clock: Clock,
+    router: Router,
+    directory: Directory,
+    upstream: Upstream,
+    watch: Watch,
+    clients: HashMap<RequestId, Client>,
+    attempts: HashMap<(RequestId, usize), AbortHandle>,
+    /// A stream whose first event is being told to the core.
+    offered: Option<(String, mpsc::Receiver<Piece>)>,
+    commands: Vec<Command>,
+}
+
+impl Hub {
+    /// A hub round a core. `known` is the list as the node last had it.
+    pub fn new(
+        clock: Clock,
+        router: Router,
+        upstream: Upstream,
+        watch: Watch,
+        known: Option<Update>,
+    ) -> Self {
+        let (directory, clients, attempts, offered, commands) = Default::default();
+        let mut hub = Hub { clock, router, directory, upstream, watch, clients, attempts, offered, commands };
+        if let Some(update) = known {
+            let now = hub.clock.now();
+            hub.take(now, Message::List(update));
+        }
+        hub
+    }
+
+    /// Runs until every driver is gone.
+    pub async fn run(mut self, mut told: mpsc::Receiver<Message>) {
+        let mut turn = Vec::with_capacity(TURN);
+        loop {
+            let due = self.router.due().map(|at| self.clock.instant(at));
+            let timer = async {
+                match due {
+                    Some(at) => tokio::time::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                count = told.recv_many(&mut turn, TURN) => if count == 0 { return },
+                () = timer => {}
+            }
+            let now = self.clock.now();
+            for message in turn.drain(..) {
+                self.take(now, message);
+            }
+            self.router.turn(now, &mut self.commands);
+            self.carry_out(now);
+        }
+    }
+
+    fn take(&mut self, now: Micros, message: Message) {
+        let input = match message {
+            Message::Input(input) => input,
+            Message::Request { arrival, answer, .. } if self.router.is_live(arrival.id) => {
+                let _ = answer.send(Answer::Duplicate);
+                return;
+            }
+            Message::Request { arrival, payload, answer } => {
+                self.clients.insert(arrival.id, Client { payload: Rc::new(payload), answer });
+                Input::Arrived(arrival)
+            }
+            Message::First { request, attempt, content_type, body } => {
+                self.offered = Some((content_type, body));
+                Input::First { request, attempt }
+            }
+            Message::List(update) => {
+                let (list, full) = self.directory.take(update, self.clock.moment());
+                self.watch.version(self.directory.version());
+                Input::List { list, full }
+            }
+        };
+        match &input {
+            Input::ClientGone(id) => drop(self.clients.remove(id)),
+            Input::Ended { request, attempt, .. } => drop(self.attempts.remove(&(*request, *attempt))),
+            _ => {}
+        }
+        self.router.handle(now, input, &mut self.commands);
+        self.carry_out(now);
+        self.offered = None;
+    }
+
+    fn carry_out(&mut self, now: Micros) {
+        for command in std::mem::take(&mut self.commands) {
+            match command {
+                Command::Send { request, attempt, replica, until } => {
+                    let addr = self.directory.addr(replica);
+                    let payload = self.clients.get(&request).map(|c| c.payload.clone());
+                    let (Some(addr), Some(payload)) = (addr, payload) else {
+                        // The list has lost it since: the attempt never left.
+                        let outcome = crate::interface::Outcome::Moot;
+                        let input = Input::Ended { request, attempt, outcome, report: None };
+                        self.router.handle(now, input, &mut self.commands);
+                        continue;
+                    };
+                    let job = Job { request, attempt, addr, wait: until.saturating_sub(now), payload };
+                    let task = tokio::task::spawn_local(self.upstream.clone().attempt(job));
+                    self.attempts.insert((request, attempt), task.abort_handle());
+                }
+                Command::Abandon { request, attempt } => {
+                    if let Some(task) = self.attempts.remove(&(request, attempt)) {
+                        task.abort();
+                    }
+                }
+                Command::Bind { request, .. } => {
+                    if let (Some(client), Some((content_type, body))) =
+                        (self.clients.remove(&request), self.offered.take())
+                    {
+                        let _ = client.answer.send(Answer::Stream { content_type, body });
+                    }
+                }
+                Command::Refuse { request, retry_after } => {
+                    self.answer(request, Answer::Refused(retry_after));
+                }
+                Command::Fail { request } => self.answer(request, Answer::Failed),
+                Command::Probe { replica } => {
+                    let addr = self.directory.addr(replica);
+                    tokio::task::spawn_local(self.upstream.clone().probe(replica, addr));
+                }
+                Command::Watch => self.watch.start(),
+            }
+        }
+        if !self.commands.is_empty() {
+            self.carry_out(now);
+        }
+    }
+
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        if let Some(client) = self.clients.remove(&request) {
+            let _ = client.answer.send(answer);
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,49 @@
+//! Sockets and the tasks that drive them. Each driver reads and writes; what bytes mean is `protocol`'s, what
+//! to do is `routing`'s. All tasks share one thread and talk over bounded channels.
+
+pub mod client;
+pub mod clock;
+pub mod discovery;
+pub mod hub;
+pub mod listener;
+pub mod pool;
+pub mod upstream;
+
+use crate::protocol::http::Http;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+/// A connection with its codec; both directions have one bounded buffer, used again and again.
+pub type Wire = Framed<TcpStream, Http>;
+
+/// The figures that bound the transport; `program::config` fills them in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Connections from clients.
+    pub clients: usize,
+    /// Connections to replicas, in use or idle.
+    pub upstream: usize,
+    /// Bytes of request bodies held at once.
+    pub held_bytes: usize,
+    /// A connection to a replica must be up within this time.
+    pub dial: Duration,
+    /// An idle connection to a replica is dropped after this time.
+    pub idle: Duration,
+    /// A stream that is silent for so long has broken.
+    pub silence: Duration,
+    /// A client that takes nothing for so long is let go.
+    pub stall: Duration,
+    /// A client connection without a request is closed after this time.
+    pub client_idle: Duration,
+    /// A request must be read whole within this time of its head.
+    pub read: Duration,
+    /// A probe waits so long.
+    pub probe: Duration,
+    /// A watch of the list waits so long at discovery ...
+    pub watch: Duration,
+    /// ... and its answer may take so much longer.
+    pub watch_slack: Duration,
+    /// New connections are accepted for so long after the order to stop.
+    pub linger: Duration,
+}
--- /dev/null
+++ b/src/transport/pool.rs
@@ -0,0 +1,118 @@
+//! Connections to replicas: bounded in number, used again newest first.
+
+use super::Wire;
+use crate::protocol::http::{Http, Side};
+use futures_util::{FutureExt, StreamExt};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio_util::codec::Framed;
+
+/// A connection and its place among the bounded number.
+pub struct Conn {
+    /// The connection.
+    pub wire: Wire,
+    _place: Place,
+}
+
+/// Frees its place when the connection is dropped, however that comes about.
+struct Place(Rc<RefCell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *self.0.borrow_mut() -= 1;
+    }
+}
+
+/// Why no connection could be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoConn {
+    /// The replica could not be reached in time.
+    Failed,
+    /// This node holds as many connections as it may.
+    Exhausted,
+}
+
+/// The idle connections to one replica with the time since when, newest last.
+type Idle = Vec<(Instant, Conn)>;
+
+/// The pool; clones are the same pool.
+#[derive(Clone)]
+pub struct Pool {
+    idle: Rc<RefCell<BTreeMap<SocketAddr, Idle>>>,
+    open: Rc<RefCell<usize>>,
+    most: usize,
+    dial: Duration,
+    keep: Duration,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(most: usize, dial: Duration, keep: Duration) -> Self {
+        let (idle, open) = Default::default();
+        Pool { idle, open, most, dial, keep }
+    }
+
+    /// The newest idle connection to a replica, or a new one.
+    pub async fn get(&self, addr: SocketAddr) -> Result<Conn, NoConn> {
+        if let Some(conn) = self.reuse(addr) {
+            return Ok(conn);
+        }
+        if *self.open.borrow() >= self.most && !self.drop_oldest() {
+            return Err(NoConn::Exhausted);
+        }
+        *self.open.borrow_mut() += 1;
+        let place = Place(self.open.clone());
+        match tokio::time::timeout(self.dial, TcpStream::connect(addr)).await {
+            Ok(Ok(socket)) => {
+                let _ = socket.set_nodelay(true);
+                Ok(Conn { wire: Framed::new(socket, Http::new(Side::Client)), _place: place })
+            }
+            Ok(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)) => Err(NoConn::Exhausted),
+            _ => Err(NoConn::Failed),
+        }
+    }
+
+    fn reuse(&self, addr: SocketAddr) -> Option<Conn> {
+        loop {
+            let (since, mut conn) = self.idle.borrow_mut().get_mut(&addr)?.pop()?;
+            // A connection that has anything to say between two answers has ended or is out of step.
+            if since.elapsed() < self.keep && conn.wire.next().now_or_never().is_none() {
+                return Some(conn);
+            }
+        }
+    }
+
+    /// Takes back a connection whose answer is complete; one with unread bytes is closed instead.
+    pub fn put(&self, addr: SocketAddr, conn: Conn) {
+        if conn.wire.codec().idle() && conn.wire.read_buffer().is_empty() {
+            self.idle.borrow_mut().entry(addr).or_default().push((Instant::now(), conn));
+        }
+    }
+
+    fn drop_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter().filter_map(|(a, l)| l.first().map(|c| (c.0, *a))).min();
+        oldest.and_then(|(_, addr)| idle.get_mut(&addr)).is_some_and(|list| {
+            list.remove(0);
+            true
+        })
+    }
+
+    /// Closes what has been idle too long.
+    pub fn sweep(&self) {
+        self.idle.borrow_mut().retain(|_, list| {
+            list.retain(|c| c.0.elapsed() < self.keep);
+            !list.is_empty()
+        });
+    }
+
+    /// Connections open now.
+    pub fn open(&self) -> usize {
+        *self.open.borrow()
+    }
+}
--- /dev/null
+++ b/src/transport/upstream.rs
@@ -0,0 +1,192 @@
+//! One attempt at a replica, and probes. Dropping the task closes the connection: that is how an attempt is
+//! abandoned, and why nothing of it can be used again.
+
+use super::hub::{Message, Payload};
+use super::pool::{Conn, NoConn, Pool};
+use super::Bounds;
+use crate::interface::{Outcome, ReplicaId, Report, RequestId};
+use crate::protocol::answer::{probed, report, Answer, Step};
+use crate::protocol::http::{Out, Part, Start};
+use crate::protocol::request;
+use crate::routing::{Input, Micros};
+use crate::wire::Boot;
+use bytes::{Buf, Bytes};
+use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// A request goes out in pieces of this size, so that no buffer grows with the body.
+const PIECE: usize = 16 * 1024;
+/// Pieces of an answer that wait for a slow client; then the replica is no longer read.
+const PIECES: usize = 4;
+/// An answer that was counted already is read to its end for so long, to use its connection again.
+const DRAIN: Duration = Duration::from_millis(500);
+
+/// A piece of a stream on its way to the client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Piece {
+    /// Bytes, unchanged.
+    Bytes(Bytes),
+    /// The whole stream has passed. A channel that closes without this says that it broke.
+    End,
+}
+
+/// What every driver of replica connections shares.
+#[derive(Clone)]
+pub struct Upstream {
+    /// The connections.
+    pub pool: Pool,
+    /// To the core.
+    pub tell: mpsc::Sender<Message>,
+    /// The settings.
+    pub boot: Rc<Boot>,
+    /// The figures.
+    pub bounds: Rc<Bounds>,
+}
+
+/// One attempt.
+pub struct Job {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt's number.
+    pub attempt: usize,
+    /// Where the replica listens.
+    pub addr: SocketAddr,
+    /// How long the node will wait.
+    pub wait: Micros,
+    /// What is sent.
+    pub payload: Rc<Payload>,
+}
+
+impl Upstream {
+    /// Drives one attempt to its end and tells the core how it ended.
+    pub async fn attempt(self, job: Job) {
+        let (request, attempt, addr) = (job.request, job.attempt, job.addr);
+        let (outcome, report, conn) = self.exchange(job).await;
+        let _ = self.tell.send(Input::Ended { request, attempt, outcome, report }.into()).await;
+        let Some(mut conn) = conn else { return };
+        let rest = async {
+            while !conn.wire.codec().idle() {
+                match conn.wire.next().await {
+                    Some(Ok(_)) => {}
+                    _ => return false,
+                }
+            }
+            true
+        };
+        if tokio::time::timeout(DRAIN, rest).await == Ok(true) {
+            self.pool.put(addr, conn);
+        }
+    }
+
+    async fn exchange(&self, job: Job) -> (Outcome, Option<Report>, Option<Conn>) {
+        let mut conn = match self.pool.get(job.addr).await {
+            Ok(conn) => conn,
+            Err(NoConn::Failed) => return (Outcome::ConnectFailed, None, None),
+            // Not the replica's fault: nothing may be held against it.
+            Err(NoConn::Exhausted) => return (Outcome::Moot, None, None),
+        };
+        let head = request::attempt_head(&job.payload.head, job.wait);
+        if write(&mut conn, head, job.payload.body.clone()).await.is_err() {
+            // Before its last byte is written a request can't have run.
+            return (Outcome::ConnectFailed, None, None);
+        }
+        let mut answer = Answer::new(self.boot.clone());
+        let mut steps = Vec::new();
+        let mut keep = false;
+        let mut to_client = None;
+        loop {
+            let next = conn.wire.next();
+            let part = if answer.started() {
+                match tokio::time::timeout(self.bounds.silence, next).await {
+                    Ok(part) => part,
+                    // A replica that vanished leaves its connections open and quiet: its client must
+                    // not be left waiting with it.
+                    Err(_) => return (Outcome::TimedOut, None, None),
+                }
+            } else {
+                next.await
+            };
+            match part {
+                Some(Ok(part)) => {
+                    if let Part::Head(head) = &part {
+                        keep = head.keep;
+                    }
+                    answer.feed(part, &mut steps);
+                }
+                Some(Err(_)) | None => answer.broke(&mut steps),
+            }
+            for step in steps.drain(..) {
+                match step {
+                    Step::First(content_type) => {
+                        let (sender, body) = mpsc::channel(PIECES);
+                        to_client = Some(sender);
+                        let (request, attempt) = (job.request, job.attempt);
+                        let first = Message::First { request, attempt, content_type, body };
+                        let _ = self.tell.send(first).await;
+                    }
+                    Step::Pass(bytes) => {
+                        if let Some(sender) = &to_client {
+                            let _ = sender.send(Piece::Bytes(bytes)).await;
+                        }
+                    }
+                    Step::Done(outcome, report) => {
+                        if let (Some(sender), Outcome::Served) = (&to_client, outcome) {
+                            let _ = sender.send(Piece::End).await;
+                        }
+                        let broken = matches!(outcome, Outcome::Reset);
+                        return (outcome, report, Some(conn).filter(|_| keep && !broken));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks a replica for its load, or for its health where there are no reports.
+    pub async fn probe(self, replica: ReplicaId, addr: Option<SocketAddr>) {
+        let (outcome, report) = match addr {
+            None => (Outcome::ConnectFailed, None),
+            Some(addr) => tokio::time::timeout(self.bounds.probe, self.ask(addr))
+                .await
+                .unwrap_or((Outcome::TimedOut, None)),
+        };
+        let _ = self.tell.send(Input::Probed { replica, outcome, report }.into()).await;
+    }
+
+    async fn ask(&self, addr: SocketAddr) -> (Outcome, Option<Report>) {
+        let Ok(mut conn) = self.pool.get(addr).await else { return (Outcome::ConnectFailed, None) };
+        let target = if self.boot.names.fields.is_empty() { "/healthz" } else { "/load" };
+        if write(&mut conn, request::get(target, &addr.to_string()), Bytes::new()).await.is_err() {
+            return (Outcome::ConnectFailed, None);
+        }
+        let (mut status, mut keep, mut body) = (0, false, Vec::new());
+        loop {
+            match conn.wire.next().await {
+                Some(Ok(Part::Head(head))) => {
+                    keep = head.keep;
+                    status = if let Start::Status(status) = head.start { status } else { 0 };
+                }
+                Some(Ok(Part::Body(bytes))) if body.len() < PIECE => body.extend_from_slice(&bytes),
+                Some(Ok(Part::Body(_))) => return (Outcome::Error, None),
+                Some(Ok(Part::End)) => break,
+                _ => return (Outcome::Reset, None),
+            }
+        }
+        if keep {
+            self.pool.put(addr, conn);
+        }
+        let load = std::str::from_utf8(&body).ok().and_then(|text| report(text, &self.boot));
+        (probed(status), load)
+    }
+}
+
+/// Writes a request; an error means that its last byte was not written.
+async fn write(conn: &mut Conn, head: Bytes, mut body: Bytes) -> Result<(), crate::protocol::http::Fault> {
+    conn.wire.feed(Out::Raw(head)).await?;
+    while body.has_remaining() {
+        conn.wire.feed(Out::Raw(body.split_to(body.len().min(PIECE)))).await?;
+    }
+    conn.wire.flush().await
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -29,13 +29,32 @@
 pub struct Boot {
     /// The settings of the instance.
     pub settings: Settings,
-    zones: usize,
-    kinds: usize,
+    /// Names and limits that only a node on real sockets needs.
+    pub names: Names,
     fields: Vec<Field>,
     /// Weights in the list are sizes, not load.
     sized: bool,
 }
 
+/// What the settings name by words, and the limits of connections. Positions are the module's numbers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    /// Classes of requests.
+    pub classes: Vec<String>,
+    /// Tenants; empty at sites without.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of machine.
+    pub kinds: Vec<String>,
+    /// The values of a load report, in order.
+    pub fields: Vec<String>,
+    /// A connection that is not up within this time has failed.
+    pub dial_timeout: Seconds,
+    /// A replica closes a connection that is idle for so long.
+    pub keep_alive: Seconds,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Field {
     WaitingPromptTokens,
@@ -206,11 +225,7 @@
                 continue;
             }
             let value: f64 = value.parse().map_err(|_| self.expected("numbers in the load report"))?;
-            match field {
-                Field::WaitingPromptTokens => report.waiting_prompt_tokens = Some(value * 1000.0),
-                Field::MemoryHeld => report.memory_held = Some(value),
-                Field::Other => {}
-            }
+            field.put(&mut report, value);
         }
         Ok(Some(report))
     }
@@ -334,15 +349,48 @@
 pub fn listings(rows: &[Row], boot: &Boot) -> Result<Vec<Listing>, WireError> {
     let bad = |expected: String| WireError { message: "roster_change".into(), expected };
     for row in rows {
-        if row.listing.zone >= boot.zones {
-            return Err(bad(format!("a zone below {}, not {}", boot.zones, row.listing.zone)));
+        let (zones, kinds) = (boot.names.zones.len().max(1), boot.names.kinds.len().max(1));
+        if row.listing.zone >= zones {
+            return Err(bad(format!("a zone below {zones}, not {}", row.listing.zone)));
+        }
+        if row.listing.kind >= kinds {
+            return Err(bad(format!("a kind below {kinds}, not {}", row.listing.kind)));
+        }
+    }
+    Ok(rows.iter().map(|r| Listing { size: boot.size(r.listing.size), ..r.listing.clone() }).collect())
+}
+
+impl Boot {
+    /// Reads the settings of an instance from their JSON text.
+    pub fn read(text: &str) -> Result<Boot, String> {
+        boot(text)
+    }
+
+    /// A weight from the list as a size, where it is one.
+    pub fn size(&self, weight: Option<f64>) -> Option<f64> {
+        weight.filter(|s| self.sized && s.is_finite() && *s > 0.0)
+    }
+
+    /// A load report from its values, named as the settings name them.
+    pub fn report(&self, value: impl Fn(&str) -> Option<f64>) -> Report {
+        let mut report = Report::default();
+        for (name, field) in self.names.fields.iter().zip(&self.fields) {
+            if let Some(value) = value(name) {
+                field.put(&mut report, value);
+            }
         }
-        if row.listing.kind >= boot.kinds {
-            return Err(bad(format!("a kind below {}, not {}", boot.kinds, row.listing.kind)));
+        report
+    }
+}
+
+impl Field {
+    fn put(self, report: &mut Report, value: f64) {
+        match self {
+            Field::WaitingPromptTokens => report.waiting_prompt_tokens = Some(value * 1000.0),
+            Field::MemoryHeld => report.memory_held = Some(value),
+            Field::Other => {}
         }
     }
-    let size = |r: &Row| r.listing.size.filter(|s| boot.sized && s.is_finite() && *s > 0.0);
-    Ok(rows.iter().map(|r| Listing { size: size(r), ..r.listing.clone() }).collect())
 }
 
 fn boot(text: &str) -> Result<Boot, String> {
@@ -438,10 +486,21 @@
         },
     };
     settings.check().map_err(|e| format!("workable {e}"))?;
-    let (zones, kinds) = (list(&v, "zones")?.len().max(1), list(&v, "hostTypes")?.len().max(1));
+    let text = |v: &Value| v.as_str().unwrap_or_default().to_string();
+    let texts = |v: &Value, key: &str| list(v, key).map(|l| l.iter().map(text).collect::<Vec<_>>());
+    let named = |v: &Value, key: &str| list(v, key).map(|l| l.iter().map(|e| text(&e["name"])).collect());
+    let names = Names {
+        classes: named(&v, "classes")?,
+        tenants: named(&v, "tenants")?,
+        zones: texts(&v, "zones")?,
+        kinds: texts(&v, "hostTypes")?,
+        fields: texts(&v["report"], "fields")?,
+        dial_timeout: number(l, "dialTimeout", 1.0)?,
+        keep_alive: number(l, "keepalive", 10.0)?,
+    };
     let fields = list(&v["report"], "fields")?.iter().map(field).collect();
     let sized = matches!(v["weightSource"].as_str(), Some("nominal" | "rough"));
-    Ok(Boot { settings, zones, kinds, fields, sized })
+    Ok(Boot { settings, names, fields, sized })
 }
 
 /// Appends the line of one action of an instance.
