Let the price of crossing zones weigh in the order of replicas; cut windows on broken streams

Kept: a factor learned from late and early first tokens in the own zone, bounded by the price; no price, no factor.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,6 +31,13 @@
 const WAITING_SHARE: f64 = 0.4;
 /// The draw falls with this power of the tokens to be read before the first token.
 const DRAW_POWER: f64 = 8.0;
+/// Departure: where crossing zones has a price, a replica of the own zone ranks as larger. A zone may have more
+/// traffic than its replicas carry, so by how much is learned: a late first token there takes this off its
+/// logarithm, an early one adds that, up to a bound that grows with the price.
+const NEAR_CUT: f64 = 0.1;
+const NEAR_GROWTH: f64 = 0.04;
+const NEAR_FIRST: f64 = 4.0;
+const NEAR_MOST: f64 = 200.0;
 /// A replica whose memory is full is drawn this much as often as an empty one, not never.
 const LEAST_WEIGHT: f64 = 0.05;
 /// A report counts less with age and is worth nothing after this long.
@@ -80,6 +87,8 @@
     learned: Learned,
     pool: Pool,
     ask_at: Option<Seconds>,
+    /// Logarithm of how much larger a replica of the own zone ranks.
+    nearness: f64,
 }
 
 impl Brain {
@@ -92,7 +101,9 @@
         worths.dedup();
         let least = settings.classes.iter().map(|c| c.worth).fold(f64::INFINITY, f64::min);
         let tenants = settings.tenants.len().max(1);
+        let nearness = NEAR_FIRST.ln().min((NEAR_MOST * settings.prices.cross_zone).ln_1p());
         Ok(Brain {
+            nearness,
             backlog: Backlog::new(worths, least, tenants),
             allowances: vec![Allowance::default(); tenants],
             rng: Rand64::new(u128::from(seed)),
@@ -319,6 +330,7 @@
     /// The place of a replica in a session's order, lowest first: larger ones come first more often.
     fn rank(&self, session: u64, r: &Replica) -> u64 {
         let size = r.size.unwrap_or_else(|| 1.0 / self.learned.pace_of(r.kind));
+        let size = if r.zone == self.settings.zone { size * self.nearness.exp() } else { size };
         micros(-r.chance(session).max(f64::MIN_POSITIVE).ln() / size)
     }
 
@@ -395,10 +407,15 @@
         self.call_off(id, out);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
         r.own_unread = (r.own_unread - unread).max(0.0);
-        let kind = r.kind;
+        let (kind, near) = (r.kind, r.zone == self.settings.zone);
         let class = &self.settings.classes[class];
         let calm = (aim * LATE_PART).min(class.token_aim * LATE_TOKENS);
         let late = (calm + unread * READ_SLACK * class.aim_per_prompt_token).min(aim);
+        let most = (NEAR_MOST * self.settings.prices.cross_zone).ln_1p();
+        let step = if elapsed > late { -NEAR_CUT } else { NEAR_GROWTH };
+        if near && (elapsed > late || elapsed <= late / 2.0) {
+            self.nearness = (self.nearness + step).clamp(0.0, most);
+        }
         self.learned.pace(kind, elapsed.max(0.001) / (unread + BASE_TOKENS), PACE_SAMPLES);
         if elapsed > late {
             self.pool.cut(POOL_CUT);
@@ -428,7 +445,8 @@
 
     fn ended(&mut self, event: Event, out: &mut Vec<Action>) {
         let Event::Ended { request: id, attempt, outcome, last, report } = event else { return };
-        let sent = self.requests.get(&id).and_then(|r| r.attempts.get(attempt)).map(|a| a.sent);
+        let found = self.requests.get(&id).and_then(|r| r.attempts.get(attempt));
+        let (sent, streaming) = (found.map(|a| a.sent), found.is_some_and(|a| a.phase == Phase::Streaming));
         if let Some(sent) = sent.filter(|_| outcome == Outcome::Served) {
             // An answer that does not stream is its own first token: its window would never grow else.
             self.first_token(id, attempt, self.now - sent, out);
@@ -456,6 +474,10 @@
             }
             Outcome::TimedOut => self.pool.cut(POOL_CUT),
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
+                if streaming {
+                    // A broken stream is a sign of load, as a time-out is.
+                    self.pool.cut(POOL_CUT);
+                }
                 let Some(r) = self.replicas.get_mut(&replica) else { return };
                 r.failures += 1;
                 if r.failures == EJECT_AFTER {
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -810,3 +810,44 @@
         prop_assert_eq!(first, play(&steps, copies));
     }
 }
+
+/// Sends of `n` sessions to the router's own zone, of four replicas that are half there, after as many early
+/// first tokens.
+fn near_sends(cross_zone: f64, n: u64) -> usize {
+    let settings = Settings { prices: Prices { cross_zone, ..Prices::default() }, ..settings() };
+    let mut rig = Rig::new(settings, 4);
+    let mut near = 0;
+    for id in 1..=n {
+        let out = rig.tell(Event::Arrived(request(id, 0, 0, 30.0)));
+        let zone_0 =
+            |a: &Action| matches!(a, Action::Send { replica: r, .. } if *r == replica(0) || *r == replica(2));
+        near += out.iter().filter(|a| zone_0(a)).count();
+        rig.start(id, 0.001);
+        rig.end(id, 0, Outcome::Served, true);
+    }
+    near
+}
+
+#[test]
+fn the_price_of_crossing_zones_weighs_in_the_order_of_replicas() {
+    // Without a price half of the sends crossed, and the price was the largest of all on this site.
+    let (free, priced) = (near_sends(0.0, 300), near_sends(0.16, 300));
+    assert!((100..200).contains(&free), "{free}");
+    assert!(priced > 255, "{priced}");
+}
+
+#[test]
+fn a_stream_that_breaks_shrinks_the_windows() {
+    // The design cuts windows on broken streams; only time-outs and "full" did.
+    let room_after = |outcome| {
+        let mut rig = Rig::new(settings(), 1);
+        for id in 1..=60 {
+            rig.tell(Event::Arrived(request(id, 0, 0, 30.0)));
+            rig.start(id, 0.2);
+            rig.end(id, 0, outcome, true);
+        }
+        rig.wait(1.0);
+        rig.fill()
+    };
+    assert!(room_after(Outcome::Reset) < room_after(Outcome::Served));
+}
