--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,9 +31,9 @@
 const WAITING_SHARE: f64 = 0.4;
 /// The draw falls with this power of the tokens to be read before the first token.
 const DRAW_POWER: f64 = 8.0;
-/// Departure: where crossing zones has a price, a replica of the own zone ranks as larger. A zone may have more
-/// traffic than its replicas carry, so by how much is learned: a late first token there takes this off its
-/// logarithm, an early one adds that, up to a bound that grows with the price.
+/// Departure: where crossing zones has a price, a replica of the own zone ranks as larger. A zone may have
+/// more traffic than its replicas carry, so by how much is learned: a late first token there takes this off
+/// its logarithm, an early one adds that, up to a bound that grows with the price.
 const NEAR_CUT: f64 = 0.1;
 const NEAR_GROWTH: f64 = 0.04;
 const NEAR_FIRST: f64 = 4.0;
