--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -39,7 +39,7 @@
     /// Where discovery listens, in place of the configuration's
     #[arg(long, env = "GW_DISCOVERY", value_name = "ADDRESS")]
     discovery: Option<String>,
-    /// Log every attempt and request, too
+    /// Log every event and command of the core, too
     #[arg(long, env = "GW_VERBOSE")]
     verbose: bool,
 }
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -15,6 +15,9 @@
 /// Messages taken in one turn.
 const TURN: usize = 256;
 
+/// How often the log says what has happened so far.
+const SUMMARY: Micros = 10_000_000;
+
 /// A client's request as it goes to replicas.
 pub struct Payload {
     /// The head, but for the deadline.
@@ -114,6 +117,7 @@
     /// Runs until every driver is gone.
     pub async fn run(mut self, mut told: mpsc::Receiver<Message>) {
         let mut turn = Vec::with_capacity(TURN);
+        let mut summary_at = SUMMARY;
         loop {
             let due = self.router.due().map(|at| self.clock.instant(at));
             let timer = async {
@@ -132,6 +136,11 @@
             }
             self.router.turn(now, &mut self.commands);
             self.carry_out(now);
+            if now >= summary_at {
+                summary_at = now + SUMMARY;
+                let (live, open) = (self.router.live(), self.upstream.pool.open());
+                tracing::info!("{live} live, {open} replica connections; {:?}", self.router.counts());
+            }
         }
     }
 
@@ -161,6 +170,7 @@
             Input::Ended { request, attempt, .. } => drop(self.attempts.remove(&(*request, *attempt))),
             _ => {}
         }
+        tracing::debug!("told: {input:?}");
         self.router.handle(now, input, &mut self.commands);
         self.carry_out(now);
         self.offered = None;
@@ -168,6 +178,7 @@
 
     fn carry_out(&mut self, now: Micros) {
         for command in std::mem::take(&mut self.commands) {
+            tracing::debug!("to do: {command:?}");
             match command {
                 Command::Send { request, attempt, replica, until } => {
                     let addr = self.directory.addr(replica);
