Catch SIGHUP: read the file again and move the watch to its discovery

Checked: the exit code is the default action of signal 1; program/serve.rs caught TERM and INT only, transport/discovery.rs held one fixed address. The environment's GW_DISCOVERY is that of the start and would hide the new value, so it is left out when the file is read again.

--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -46,17 +46,30 @@
 
 impl Source {
     fn read(&self) -> Result<Config, String> {
+        let over = [("name", &self.name), ("listen", &self.listen), ("discovery", &self.discovery)];
+        self.read_over(&over.map(|(key, value)| (key, value.as_deref())))
+    }
+
+    /// Reads the file again, at SIGHUP. The environment is that of the start and says what discovery was then:
+    /// it must not hide what the replaced file says now.
+    fn reread(&self) -> Result<Config, String> {
+        let over = [("name", &self.name), ("listen", &self.listen)];
+        self.read_over(&over.map(|(key, value)| (key, value.as_deref())))
+    }
+
+    fn read_over(&self, over: &[(&str, Option<&str>)]) -> Result<Config, String> {
         let path: &Path = &self.config;
         let text = std::fs::read_to_string(path).map_err(|e| format!("config {}: {e}", path.display()))?;
-        let over = [("name", &self.name), ("listen", &self.listen), ("discovery", &self.discovery)];
-        Config::read(&text, &over.map(|(key, value)| (key, value.as_deref())))
+        Config::read(&text, over)
     }
 }
 
 /// Runs the command line; an error is one line on standard error.
 pub fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Serve(source) => source.read().and_then(|config| serve::serve(config, source.verbose)),
+        Command::Serve(source) => {
+            source.read().and_then(|config| serve::serve(config, source.verbose, || source.reread()))
+        }
         Command::Check(source) => source.read().map(|config| println!("{config}")),
         Command::Version => {
             println!("poppykeel {}", env!("CARGO_PKG_VERSION"));
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -24,8 +24,12 @@
 /// How often it is looked whether the last client has left.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Serves until told to stop and until what runs has ended.
-pub fn serve(config: Config, verbose: bool) -> Result<(), String> {
+/// Serves until told to stop and until what runs has ended; `reread` gives the configuration as it is by then.
+pub fn serve(
+    config: Config,
+    verbose: bool,
+    reread: impl Fn() -> Result<Config, String>,
+) -> Result<(), String> {
     let level = if verbose { tracing::Level::DEBUG } else { tracing::Level::INFO };
     tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).init();
     // The runtime would keep a panic inside its task, and the node would go on without that part.
@@ -36,12 +40,14 @@
     }));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run(config, reread))
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, reread: impl Fn() -> Result<Config, String>) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
+    // Not caught, it would end the process. Caught it stays until the end, also while the node drains.
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|e| format!("config: listen: {}: {e}", config.listen))?;
@@ -54,7 +60,7 @@
     let upstream =
         Upstream { pool: pool.clone(), tell: tell.clone(), boot: boot.clone(), bounds: bounds.clone() };
     let discovery = Watch::new(config.discovery, boot.clone(), bounds.clone(), tell.clone());
-    let hub = Hub::new(Clock::start(), Router::new(brain), upstream, discovery, config.known);
+    let hub = Hub::new(Clock::start(), Router::new(brain), upstream, discovery.clone(), config.known);
     spawn_local(hub.run(told));
     spawn_local(async move {
         loop {
@@ -66,9 +72,19 @@
     spawn_local(accept(listener, shared.clone(), phases));
     tracing::info!("{}: serving on {}", config.name, bound);
 
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => match reread() {
+                Ok(config) => {
+                    tracing::info!("{}: read again, discovery {}", config.name, config.discovery);
+                    discovery.move_to(config.discovery);
+                }
+                // A bad file must not take down what serves by the good one before it.
+                Err(e) => tracing::error!("kept as it was: {e}"),
+            },
+        }
     }
     tracing::info!("{}: draining", config.name);
     let _ = phase.send(Phase::Draining);
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
 use tokio_util::codec::Framed;
 
 /// The longest answer that is read.
@@ -22,7 +22,8 @@
 /// The watch of one node.
 #[derive(Clone)]
 pub struct Watch {
-    addr: SocketAddr,
+    addr: Rc<Cell<SocketAddr>>,
+    moved: Rc<Notify>,
     boot: Rc<Boot>,
     bounds: Rc<Bounds>,
     tell: mpsc::Sender<Message>,
@@ -33,8 +34,8 @@
 impl Watch {
     /// A watch that has not begun.
     pub fn new(addr: SocketAddr, boot: Rc<Boot>, bounds: Rc<Bounds>, tell: mpsc::Sender<Message>) -> Self {
-        let (running, version) = Default::default();
-        Watch { addr, boot, bounds, tell, running, version }
+        let (moved, running, version) = Default::default();
+        Watch { addr: Rc::new(Cell::new(addr)), moved, boot, bounds, tell, running, version }
     }
 
     /// The list that the node has now.
@@ -49,11 +50,31 @@
         }
     }
 
+    /// Watches at another address from now on. A call that waits at the old one is dropped, and so is the pause
+    /// after a failed one: the old service may never answer either.
+    pub fn move_to(&self, addr: SocketAddr) {
+        if self.addr.replace(addr) != addr {
+            if self.running.get() {
+                self.moved.notify_one();
+            } else {
+                self.start();
+            }
+        }
+    }
+
     async fn run(self) {
         let mut wire = None;
         let limit = self.bounds.watch + self.bounds.watch_slack;
         let why = loop {
-            match tokio::time::timeout(limit, self.call(&mut wire)).await {
+            let call = tokio::select! {
+                biased;
+                () = self.moved.notified() => {
+                    wire = None;
+                    continue;
+                }
+                call = tokio::time::timeout(limit, self.call(&mut wire)) => call,
+            };
+            match call {
                 Ok(Ok(update)) => {
                     // The version is set before the next call goes out, whenever the core gets to it.
                     self.version.set(update.version());
@@ -75,7 +96,7 @@
             Some(conn) => conn,
             None => {
                 let socket =
-                    tokio::time::timeout(self.bounds.watch_slack, TcpStream::connect(self.addr)).await;
+                    tokio::time::timeout(self.bounds.watch_slack, TcpStream::connect(self.addr.get())).await;
                 let socket = socket.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
                 let _ = socket.set_nodelay(true);
                 Framed::new(socket, Http::new(Side::Client))
@@ -83,7 +104,7 @@
         };
         let (since, wait) = (self.version.get(), self.bounds.watch.as_millis());
         let target = format!("/v1/servers?since={since}&timeout_ms={wait}");
-        let get = request::get(&target, &self.addr.to_string());
+        let get = request::get(&target, &self.addr.get().to_string());
         conn.send(Out::Raw(get)).await.map_err(|e| e.to_string())?;
         let (mut status, mut keep, mut body) = (0, false, Vec::new());
         loop {
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,7 @@
 
 struct Node {
     child: Child,
+    config: PathBuf,
     addr: String,
     listeners: HashMap<&'static str, TcpListener>,
     open: HashMap<String, TcpStream>,
@@ -20,7 +22,8 @@
 
 impl Node {
     fn start(name: &str) -> Node {
-        let listeners = ["replica", "discovery"].map(|n| (n, TcpListener::bind("127.0.0.1:0").unwrap()));
+        let listeners =
+            ["replica", "discovery", "moved"].map(|n| (n, TcpListener::bind("127.0.0.1:0").unwrap()));
         let addr = |n: usize| listeners[n].1.local_addr().unwrap().to_string();
         let config = include_str!("exchanges/config.json").replace("REPLICA", &addr(0));
         let path = std::env::temp_dir().join(format!("exchange-{name}-{}.json", std::process::id()));
@@ -28,6 +31,7 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_poppykeel"))
             .args(["serve", "--config"])
             .arg(&path)
+            .env("GW_DISCOVERY", addr(1))
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -35,9 +39,8 @@
         let line = log.find(|l| l.contains("serving on")).expect("the node serves");
         std::thread::spawn(move || log.for_each(|line| println!("{line}")));
         let addr = line.rsplit(' ').next().unwrap().to_string();
-        std::fs::remove_file(path).unwrap();
         let (open, read) = Default::default();
-        Node { child, addr, listeners: HashMap::from(listeners), open, read }
+        Node { child, config: path, addr, listeners: HashMap::from(listeners), open, read }
     }
 
     fn party(&mut self, name: &str) -> TcpStream {
@@ -67,6 +70,11 @@
         }
     }
 
+    fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
     fn play(&mut self, step: &str, bytes: &str) {
         let (party, what) = step.split_once(' ').unwrap_or((step, ""));
         match what {
@@ -80,9 +88,16 @@
                 assert!(!timed_out && rest.is_empty(), "{party}: {}", String::from_utf8_lossy(&rest));
                 self.open.remove(party);
             }
-            "is told to stop" => {
-                let id = self.child.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+            "is told to stop" => self.signal("-TERM"),
+            "is given a bad file" => {
+                std::fs::write(&self.config, "{}").unwrap();
+                self.signal("-HUP");
+            }
+            "is moved" => {
+                let addr = |name| self.listeners[name].local_addr().unwrap().to_string();
+                let text = include_str!("exchanges/config.json").replace("REPLICA", &addr("replica"));
+                std::fs::write(&self.config, text.replace("DISCOVERY", &addr("moved"))).unwrap();
+                self.signal("-HUP");
             }
             "exits with 0" => assert!(self.child.wait().unwrap().success()),
             _ => panic!("no step '{step}'"),
@@ -94,6 +109,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
     }
 }
 
@@ -148,4 +164,4 @@
     )*};
 }
 
-exchanges! { served broken declined rejected gone chunked_request duplicate drained stopped pipelined }
+exchanges! { served broken declined rejected gone chunked_request duplicate drained stopped pipelined reloaded }
