End what never ends: spoilt answers, slow clients, left-over bytes, requests at fault

Changed: 4xx fails at once; a chunk over 256 KiB, 64 KiB without an event, more than 16 interim answers and a stream without any event break the attempt; a request is whole within 2.5 s or its connection ends; pool keyed by id and address, the kernel asked for left-over bytes; gone replicas are forgotten; no pool cut where the request waited longer here than there. Ruled out: evicting first who has sent nothing yet closed 5 new connections of usual clients unserved (none before or after).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -159,9 +159,14 @@
         self.release(out);
     }
 
+    /// Replicas kept in mind, for the log.
+    pub fn replicas(&self) -> usize {
+        self.replicas.len()
+    }
+
     fn relist(&mut self, list: Vec<Listing>, full: bool) {
         if full {
-            self.replicas.values_mut().for_each(|r| r.up = false);
+            self.replicas.values_mut().for_each(|r| (r.up, r.gone) = (false, true));
         }
         for entry in list {
             let cold = self.settings.rules.cold;
@@ -173,6 +178,8 @@
                 r.restart(born, -self.learned.quantum * self.rng.rand_float());
             }
         }
+        // Replicas are replaced all day long: what has gone and owes nothing must not stay behind.
+        self.replicas.retain(|_, r| !r.gone || r.in_flight > 0);
         self.pool.up = self.replicas.values().filter(|r| r.up).count();
         if self.pool.fresh {
             let first = FIRST_POOL * self.pool.up as f64 / self.settings.routers as f64;
@@ -197,7 +204,7 @@
         self.learned.quantum += (cost - self.learned.quantum) * if self.arrivals == 0 { 1.0 } else { LEARN };
         self.arrivals += 1;
         let key = (micros(deadline), self.arrivals);
-        let arrival = Arrival { tenant, ..arrival };
+        let arrival = Arrival { tenant, time_left, ..arrival };
         let request = Request::new(arrival, key, tier, cost, aim, deadline, useful_until);
         if !self.any_room(request.tier) {
             let wait = self.backlog_wait(&request);
@@ -373,7 +380,8 @@
             Effect::Safe => true,
             Effect::Unsafe => false,
             Effect::Keyed { group, memory } => {
-                r.same_group(&self.replicas[&first.replica], group) && self.now < first.sent + memory
+                let known = self.replicas.get(&first.replica).is_some_and(|f| r.same_group(f, group));
+                known && self.now < first.sent + memory
             }
         }
     }
@@ -403,6 +411,7 @@
         let Some(a) = request.attempts.get_mut(attempt).filter(|a| a.phase == Phase::Waiting) else { return };
         a.phase = Phase::Streaming;
         let (unread, replica, aim, class) = (a.unread, a.replica, request.aim, request.arrival.class);
+        let held = a.sent - request.arrived;
         self.hold(id, false);
         self.call_off(id, out);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
@@ -418,7 +427,11 @@
         }
         self.learned.pace(kind, elapsed.max(0.001) / (unread + BASE_TOKENS), PACE_SAMPLES);
         if elapsed > late {
-            self.pool.cut(POOL_CUT);
+            // Departure: where replicas are replaced all day nothing is kept and first tokens are late. The
+            // pool shrank until requests waited longer here than there, with room everywhere.
+            if elapsed > held {
+                self.pool.cut(POOL_CUT);
+            }
         } else if elapsed <= late / 2.0 && self.pool.in_flight as f64 * 2.0 >= self.pool.size {
             self.pool.grow(POOL_GROWTH);
         }
@@ -451,7 +464,8 @@
             // An answer that does not stream is its own first token: its window would never grow else.
             self.first_token(id, attempt, self.now - sent, out);
         }
-        let may_have_run = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        use Outcome::*;
+        let may_have_run = !matches!(outcome, Full | ConnectFailed | Moot | Rejected);
         let ended = self.requests.get_mut(&id).and_then(|r| r.end_attempt(attempt, may_have_run));
         let Some((replica, sent, unread)) = ended else { return };
         if let Some(r) = self.replicas.get_mut(&replica) {
@@ -485,11 +499,15 @@
                     r.paused_until = self.now + PAUSE;
                 }
             }
+            Outcome::Rejected => self.alive(replica, false),
             Outcome::Cancelled | Outcome::Moot => {}
         }
         self.take_report(replica, report);
         if last {
             self.close(id, out);
+        } else if outcome == Rejected && self.requests.get(&id).is_some_and(|r| !r.ended) {
+            out.push(Action::Fail { request: id });
+            self.close(id, out);
         } else if self.requests.get(&id).is_some_and(|r| !r.ended && !r.queued && r.out().next().is_none()) {
             match self.may_repeat(&self.requests[&id]) {
                 true => self.hold(id, true),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -223,6 +223,8 @@
     Cancelled,
     /// Never sent.
     Moot,
+    /// The replica finds the request itself at fault: any other would say the same.
+    Rejected,
 }
 
 /// What happens to a router.
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -11,7 +11,7 @@
 const MEMORY_MB: u64 = 192;
 const SOCKETS: u64 = 1024;
 /// Descriptors kept for the listener, discovery, the runtime and clients being turned away.
-const SPARE_SOCKETS: u64 = 96;
+const SPARE_SOCKETS: u64 = 64;
 /// Less than this leaves no room for both sides.
 const LEAST_SOCKETS: u64 = 128;
 const LEAST_MEMORY_MB: u64 = 32;
@@ -25,7 +25,8 @@
 const SILENCE: Duration = Duration::from_millis(3000);
 const STALL: Duration = Duration::from_secs(10);
 const CLIENT_IDLE: Duration = Duration::from_secs(75);
-const READ: Duration = Duration::from_secs(10);
+/// A client that never gets done is owed an error or a close within 3 s of its connecting.
+const READ: Duration = Duration::from_millis(2500);
 const PROBE: Duration = Duration::from_millis(250);
 /// Discovery is one slow service for all nodes: one long wait costs it less than many short ones.
 const WATCH: Duration = Duration::from_secs(20);
--- a/src/protocol/answer.rs
+++ b/src/protocol/answer.rs
@@ -8,8 +8,11 @@
 use serde_json::Value;
 use std::rc::Rc;
 
-/// Bytes held back until the first event is complete; a longer one passes as it is.
-const MOST_HELD: usize = 64 * 1024;
+/// The longest event: a stream that goes on without completing one is spoilt, and would never end.
+const MOST_EVENT: usize = 64 * 1024;
+
+/// The type of an event stream.
+const EVENTS: &str = "text/event-stream";
 
 /// What an answer comes to, part by part.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,6 +32,8 @@
     scan: Scan,
     report: Option<Report>,
     content_type: String,
+    /// The body is a stream of events, as its type says; other bodies pass as they are.
+    events: bool,
     started: bool,
     done: bool,
     held: BytesMut,
@@ -38,7 +43,7 @@
     /// Nothing has come yet.
     pub fn new(boot: Rc<Boot>) -> Self {
         let (scan, content_type, held) = Default::default();
-        Answer { boot, scan, report: None, content_type, started: false, done: false, held }
+        Answer { boot, scan, report: None, content_type, events: false, started: false, done: false, held }
     }
 
     /// Takes the next part and appends what follows from it.
@@ -52,19 +57,27 @@
                     steps.push(Step::Done(outcome, self.report));
                 }
                 let kind = head.headers.get("content-type");
-                self.content_type = kind.unwrap_or("text/event-stream").to_string();
+                self.content_type = kind.unwrap_or(EVENTS).to_string();
+                self.events = self.content_type.starts_with(EVENTS);
             }
             Part::Body(bytes) => {
                 self.scan.feed(&bytes, &self.boot);
+                if self.events && self.scan.unfinished() > MOST_EVENT {
+                    return self.broke(steps);
+                }
                 if self.started {
                     return steps.push(Step::Pass(bytes));
                 }
                 self.held.extend_from_slice(&bytes);
-                if self.scan.events() > 0 || self.held.len() > MOST_HELD {
+                if self.scan.events() > 0 || self.held.len() > MOST_EVENT {
                     self.start(steps);
                 }
             }
             Part::End => {
+                // Noise with a proper end is not an answer: nothing of it may reach the client as served.
+                if self.events && self.scan.events() == 0 {
+                    return self.broke(steps);
+                }
                 if !self.started {
                     self.start(steps);
                 }
@@ -102,6 +115,8 @@
     let declined = |h: &Headers| h.get("srv-declined").is_some_and(|v| v.trim() == "1");
     match head.start {
         Start::Status(200) => None,
+        // What a bad client sends must neither be tried at replica after replica nor make them seem ill.
+        Start::Status(400..=407 | 409..=428 | 430..=499) => Some(Outcome::Rejected),
         Start::Status(503 | 504) if declined(&head.headers) => Some(Outcome::Full),
         _ => Some(Outcome::Error),
     }
--- a/src/protocol/events.rs
+++ b/src/protocol/events.rs
@@ -14,6 +14,7 @@
     line: Vec<u8>,
     has_data: bool,
     events: u64,
+    since: usize,
     report: Option<Report>,
 }
 
@@ -21,6 +22,7 @@
     /// Looks at the next bytes.
     pub fn feed(&mut self, bytes: &[u8], boot: &Boot) {
         for piece in bytes.split_inclusive(|b| *b == b'\n') {
+            self.since = self.since.saturating_add(piece.len());
             let room = MOST_LINE.saturating_sub(self.line.len()).min(piece.len());
             self.line.extend_from_slice(&piece[..room]);
             if piece.ends_with(b"\n") {
@@ -35,6 +37,7 @@
     fn take(&mut self, line: &[u8], boot: &Boot) {
         if line.is_empty() {
             self.events += u64::from(std::mem::take(&mut self.has_data));
+            self.since = 0;
         } else if let Some(comment) = line.strip_prefix(b":") {
             let text = std::str::from_utf8(comment).unwrap_or_default().trim_start();
             let value = text.split_once(':').filter(|(name, _)| name.eq_ignore_ascii_case("srv-load"));
@@ -48,6 +51,10 @@
     pub fn events(&self) -> u64 {
         self.events
     }
+    /// Bytes since the last event was complete.
+    pub fn unfinished(&self) -> usize {
+        self.since
+    }
     /// The newest load report.
     pub fn report(&self) -> Option<Report> {
         self.report
--- a/src/protocol/http.rs
+++ b/src/protocol/http.rs
@@ -11,6 +11,10 @@
 pub const MOST_HEAD: usize = 16 * 1024;
 /// The most headers of one head.
 const MOST_HEADERS: usize = 64;
+/// The longest chunk of an answer. Replicas' bodies are short; one said to hold gigabytes never ends.
+const MOST_CHUNK: u64 = 256 * 1024;
+/// The most interim answers before one final answer: without a bound they could come for ever.
+const MOST_INTERIM: u32 = 16;
 /// The longest line that announces a chunk, and the longest trailer line.
 const MOST_LINE: usize = 4 * 1024;
 
@@ -86,6 +90,8 @@
     LongHead,
     /// A version other than HTTP/1.1.
     Version,
+    /// It took too long to come.
+    Slow,
     /// The connection ended inside it.
     Cut,
     /// The connection failed.
@@ -104,6 +110,7 @@
             Fault::Malformed(what) => write!(f, "malformed message: {what}"),
             Fault::LongHead => write!(f, "head longer than {MOST_HEAD} bytes or {MOST_HEADERS} fields"),
             Fault::Version => write!(f, "only HTTP/1.1 is spoken here"),
+            Fault::Slow => write!(f, "the request took too long to come"),
             Fault::Cut => write!(f, "the connection ended inside a message"),
             Fault::Io(e) => write!(f, "{e}"),
         }
@@ -147,12 +154,14 @@
 pub struct Http {
     side: Side,
     reading: Reading,
+    /// Interim answers since the last final one.
+    interim: u32,
 }
 
 impl Http {
     /// A codec at the start of a connection.
     pub fn new(side: Side) -> Self {
-        Http { side, reading: Reading::Head }
+        Http { side, reading: Reading::Head, interim: 0 }
     }
     /// Between two messages.
     pub fn idle(&self) -> bool {
@@ -188,8 +197,14 @@
         let headers = Headers(set.map(|h| (h.name.to_string(), h.value.to_vec())).collect());
         src.advance(length);
         if matches!(start, Start::Status(100..=199)) {
-            return self.decode(src);
+            self.interim += 1;
+            return if self.interim > MOST_INTERIM {
+                Err(Fault::Malformed("interim answers"))
+            } else {
+                Ok(None)
+            };
         }
+        self.interim = 0;
         let (reading, length) = framing(&start, &headers)?;
         self.reading = reading;
         let keep = reading != Reading::ToClose && !headers.has("connection", "close");
@@ -260,7 +275,14 @@
         loop {
             match self.reading {
                 Reading::Head if src.is_empty() => return Ok(None),
-                Reading::Head => return self.head(src),
+                Reading::Head => {
+                    let interim = self.interim;
+                    match self.head(src)? {
+                        // An interim answer is passed over: what stands behind it is read in the same turn.
+                        None if self.interim > interim => {}
+                        head => return Ok(head),
+                    }
+                }
                 Reading::Ended => {
                     self.reading = Reading::Head;
                     return Ok(Some(Part::End));
@@ -268,6 +290,9 @@
                 Reading::ChunkLine => {
                     let Some(line) = line(src)? else { return Ok(None) };
                     let size = chunk_size(&line)?;
+                    if self.side == Side::Client && size > MOST_CHUNK {
+                        return Err(Fault::Malformed("chunk longer than an answer"));
+                    }
                     self.reading = if size == 0 { Reading::Trailer } else { Reading::Chunk(size) };
                 }
                 Reading::Trailer => {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -147,8 +147,8 @@
     pub gone: u64,
     /// Attempts sent.
     pub sent: u64,
-    /// Attempts that ended as error, full, timed out, connect failed, reset and cancelled.
-    pub ends: [u64; 6],
+    /// Attempts that ended as error, full, timed out, connect failed, reset, cancelled and rejected.
+    pub ends: [u64; 7],
 }
 
 /// The core of one node.
@@ -175,6 +175,10 @@
     pub fn live(&self) -> usize {
         self.live.len()
     }
+    /// Replicas that the module keeps in mind.
+    pub fn replicas(&self) -> usize {
+        self.brain.replicas()
+    }
     /// What has happened so far.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -274,6 +278,7 @@
             Outcome::ConnectFailed,
             Outcome::Reset,
             Outcome::Cancelled,
+            Outcome::Rejected,
         ];
         if let Some(kind) = kinds.iter().position(|k| *k == outcome) {
             self.counts.ends[kind] += 1;
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,6 +24,7 @@
     pub(crate) tier: usize,
     pub(crate) cost: f64,
     pub(crate) aim: Seconds,
+    pub(crate) arrived: Seconds,
     pub(crate) deadline: Seconds,
     /// Past this time an answer earns nothing.
     pub(crate) useful_until: Seconds,
@@ -43,12 +44,13 @@
         deadline: Seconds,
         useful_until: Seconds,
     ) -> Self {
-        let attempts = Vec::new();
+        let (attempts, arrived) = (Vec::new(), deadline - arrival.time_left);
         Request {
             arrival,
             tier,
             cost,
             aim,
+            arrived,
             deadline,
             useful_until,
             key,
@@ -104,6 +106,8 @@
     pub(crate) zone: usize,
     pub(crate) cell: usize,
     pub(crate) up: bool,
+    /// It has left the list.
+    pub(crate) gone: bool,
     pub(crate) cold_since: Option<Seconds>,
     /// What may still be sent while cold, in cost.
     pub(crate) cold_credit: f64,
@@ -209,6 +213,7 @@
             zone: 0,
             cell: 0,
             up: false,
+            gone: false,
             cold_since: None,
             cold_credit: 0.0,
             in_flight: 0,
@@ -233,6 +238,7 @@
         self.kind = entry.kind;
         self.size = entry.size;
         self.up = entry.state == ReplicaState::Up;
+        self.gone = entry.state == ReplicaState::Gone;
     }
 
     /// A new process forgets what the one before it could bear.
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -18,6 +18,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
 /// After a last answer so much is still read, and for so long, so that the answer is not lost to a reset.
@@ -38,6 +39,8 @@
     pub phase: watch::Receiver<Phase>,
     held: Cell<usize>,
     open: Cell<usize>,
+    /// By age alone. With those first that had sent nothing yet, a flood of silent connections pushed usual
+    /// clients out whose first request was about to come; and there is no end of old ones that stay unused.
     idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
     marks: Cell<u64>,
 }
@@ -102,6 +105,10 @@
     shared: Rc<Shared>,
     /// What was read ahead while an answer was awaited.
     ahead: Option<Part>,
+    /// A request has been read on this connection.
+    known: bool,
+    /// The request on its way must be whole by then, however its bytes trickle in.
+    until: Instant,
 }
 
 /// Why a connection ends.
@@ -123,12 +130,15 @@
     /// A connection that has just been accepted.
     pub fn new(socket: TcpStream, shared: Rc<Shared>) -> Self {
         shared.open.set(shared.open.get() + 1);
-        Client { wire: Framed::new(socket, Http::new(Side::Server)), shared, ahead: None }
+        let until = Instant::now() + shared.bounds.read;
+        let wire = Framed::new(socket, Http::new(Side::Server));
+        Client { wire, shared, ahead: None, known: false, until }
     }
 
     /// Serves requests until either side has had enough.
     pub async fn run(mut self) {
         while let Ok(Some(head)) = self.next_head().await {
+            self.known = true;
             if self.serve(*head).await.is_err() {
                 return;
             }
@@ -140,7 +150,9 @@
     }
 
     async fn next_head(&mut self) -> Result<Option<Box<Head>>, Leave> {
+        let bounds = self.shared.bounds.clone();
         if let Some(Part::Head(head)) = self.ahead.take() {
+            self.until = Instant::now() + bounds.read;
             return Ok(Some(head));
         }
         let mark = self.shared.marks.get() + 1;
@@ -148,12 +160,28 @@
         let leave = Rc::new(Notify::new());
         self.shared.idle.borrow_mut().insert(mark, leave.clone());
         let mut phase = self.shared.phase.clone();
+        let (known, wire, until) = (self.known, &mut self.wire, &mut self.until);
+        let next = async {
+            if known {
+                // A kept connection may rest; from the first byte on, the request has its limit.
+                if wire.read_buffer().is_empty() {
+                    let mut byte = [0];
+                    let peeked = wire.get_ref().peek(&mut byte);
+                    tokio::time::timeout(bounds.client_idle, peeked).await.ok()?.ok()?;
+                }
+                *until = Instant::now() + bounds.read;
+            }
+            match tokio::time::timeout_at(*until, wire.next()).await {
+                Ok(next) => next,
+                Err(_) if wire.read_buffer().is_empty() => None,
+                Err(_) => Some(Err(Fault::Slow)),
+            }
+        };
         let next = tokio::select! {
             biased;
-            next = self.wire.next() => next,
+            next = next => next,
             _ = phase.wait_for(|p| *p == Phase::Closing) => None,
             () = leave.notified() => None,
-            () = tokio::time::sleep(self.shared.bounds.client_idle) => None,
         };
         self.shared.idle.borrow_mut().remove(&mark);
         match next {
@@ -168,6 +196,7 @@
         let status = match &fault {
             Fault::Malformed(_) => 400,
             Fault::LongHead => 431,
+            Fault::Slow => 408,
             Fault::Version => 505,
             Fault::Cut | Fault::Io(_) => return Err(Leave),
         };
@@ -276,10 +305,9 @@
         if head.headers.has("expect", "100-continue") {
             self.send(Out::Raw(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"))).await?;
         }
-        let until = tokio::time::Instant::now() + self.shared.bounds.read;
         let mut body = Vec::with_capacity(expected as usize);
         loop {
-            let part = match tokio::time::timeout_at(until, self.wire.next()).await {
+            let part = match tokio::time::timeout_at(self.until, self.wire.next()).await {
                 Ok(Some(Ok(part))) => part,
                 Ok(Some(Err(fault))) => {
                     self.fault(fault).await?;
@@ -287,8 +315,8 @@
                 }
                 Ok(None) => return Err(Leave),
                 Err(_) => {
-                    let reason = "the request took too long to come".to_string();
-                    return Ok(Err((Reject { status: 408, reason }, None)));
+                    self.fault(Fault::Slow).await?;
+                    return Err(Leave);
                 }
             };
             match part {
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -139,7 +139,8 @@
             if now >= summary_at {
                 summary_at = now + SUMMARY;
                 let (live, open) = (self.router.live(), self.upstream.pool.open());
-                tracing::info!("{live} live, {open} replica connections; {:?}", self.router.counts());
+                let (known, counts) = (self.router.replicas(), self.router.counts());
+                tracing::info!("{live} live, {known} replicas, {open} connections to them; {counts:?}");
             }
         }
     }
@@ -190,7 +191,13 @@
                         self.router.handle(now, input, &mut self.commands);
                         continue;
                     };
-                    let job = Job { request, attempt, addr, wait: until.saturating_sub(now), payload };
+                    let job = Job {
+                        request,
+                        attempt,
+                        peer: (replica, addr),
+                        wait: until.saturating_sub(now),
+                        payload,
+                    };
                     let task = tokio::task::spawn_local(self.upstream.clone().attempt(job));
                     self.attempts.insert((request, attempt), task.abort_handle());
                 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -36,7 +36,8 @@
     pub stall: Duration,
     /// A client connection without a request is closed after this time.
     pub client_idle: Duration,
-    /// A request must be read whole within this time of its head.
+    /// A request must be read whole within this time of its first byte, the first one on a connection within
+    /// this time of connecting.
     pub read: Duration,
     /// A probe waits so long.
     pub probe: Duration,
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -1,10 +1,12 @@
 //! Connections to replicas: bounded in number, used again newest first.
 
 use super::Wire;
+use crate::interface::ReplicaId;
 use crate::protocol::http::{Http, Side};
-use futures_util::{FutureExt, StreamExt};
+use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,10 +42,14 @@
 /// The idle connections to one replica with the time since when, newest last.
 type Idle = Vec<(Instant, Conn)>;
 
+/// A replica and where it listens. A new replica may stand where one has gone, and a replica may move: neither
+/// must inherit connections.
+pub type Peer = (ReplicaId, SocketAddr);
+
 /// The pool; clones are the same pool.
 #[derive(Clone)]
 pub struct Pool {
-    idle: Rc<RefCell<BTreeMap<SocketAddr, Idle>>>,
+    idle: Rc<RefCell<BTreeMap<Peer, Idle>>>,
     open: Rc<RefCell<usize>>,
     most: usize,
     dial: Duration,
@@ -58,8 +64,8 @@
     }
 
     /// The newest idle connection to a replica, or a new one.
-    pub async fn get(&self, addr: SocketAddr) -> Result<Conn, NoConn> {
-        if let Some(conn) = self.reuse(addr) {
+    pub async fn get(&self, peer: Peer) -> Result<Conn, NoConn> {
+        if let Some(conn) = self.reuse(peer) {
             return Ok(conn);
         }
         if *self.open.borrow() >= self.most && !self.drop_oldest() {
@@ -67,7 +73,7 @@
         }
         *self.open.borrow_mut() += 1;
         let place = Place(self.open.clone());
-        match tokio::time::timeout(self.dial, TcpStream::connect(addr)).await {
+        match tokio::time::timeout(self.dial, TcpStream::connect(peer.1)).await {
             Ok(Ok(socket)) => {
                 let _ = socket.set_nodelay(true);
                 Ok(Conn { wire: Framed::new(socket, Http::new(Side::Client)), _place: place })
@@ -77,20 +83,19 @@
         }
     }
 
-    fn reuse(&self, addr: SocketAddr) -> Option<Conn> {
+    fn reuse(&self, peer: Peer) -> Option<Conn> {
         loop {
-            let (since, mut conn) = self.idle.borrow_mut().get_mut(&addr)?.pop()?;
-            // A connection that has anything to say between two answers has ended or is out of step.
-            if since.elapsed() < self.keep && conn.wire.next().now_or_never().is_none() {
+            let (since, conn) = self.idle.borrow_mut().get_mut(&peer)?.pop()?;
+            if since.elapsed() < self.keep && quiet(&conn.wire) {
                 return Some(conn);
             }
         }
     }
 
     /// Takes back a connection whose answer is complete; one with unread bytes is closed instead.
-    pub fn put(&self, addr: SocketAddr, conn: Conn) {
-        if conn.wire.codec().idle() && conn.wire.read_buffer().is_empty() {
-            self.idle.borrow_mut().entry(addr).or_default().push((Instant::now(), conn));
+    pub fn put(&self, peer: Peer, conn: Conn) {
+        if conn.wire.codec().idle() && quiet(&conn.wire) {
+            self.idle.borrow_mut().entry(peer).or_default().push((Instant::now(), conn));
         }
     }
 
@@ -116,3 +121,10 @@
         *self.open.borrow()
     }
 }
+
+/// A connection that has anything to say between two answers has ended or is out of step. The kernel is asked:
+/// the runtime may not have seen yet that there are bytes, and a second answer must not meet the next request.
+fn quiet(wire: &Wire) -> bool {
+    let peeked = SockRef::from(wire.get_ref()).peek(&mut [MaybeUninit::uninit()]);
+    wire.read_buffer().is_empty() && peeked.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+}
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -2,7 +2,7 @@
 //! abandoned, and why nothing of it can be used again.
 
 use super::hub::{Message, Payload};
-use super::pool::{Conn, NoConn, Pool};
+use super::pool::{Conn, NoConn, Peer, Pool};
 use super::Bounds;
 use crate::interface::{Outcome, ReplicaId, Report, RequestId};
 use crate::protocol::answer::{probed, report, Answer, Step};
@@ -52,8 +52,8 @@
     pub request: RequestId,
     /// The attempt's number.
     pub attempt: usize,
-    /// Where the replica listens.
-    pub addr: SocketAddr,
+    /// The replica and where it listens.
+    pub peer: Peer,
     /// How long the node will wait.
     pub wait: Micros,
     /// What is sent.
@@ -63,7 +63,7 @@
 impl Upstream {
     /// Drives one attempt to its end and tells the core how it ended.
     pub async fn attempt(self, job: Job) {
-        let (request, attempt, addr) = (job.request, job.attempt, job.addr);
+        let (request, attempt, peer) = (job.request, job.attempt, job.peer);
         let (outcome, report, conn) = self.exchange(job).await;
         let _ = self.tell.send(Input::Ended { request, attempt, outcome, report }.into()).await;
         let Some(mut conn) = conn else { return };
@@ -77,12 +77,12 @@
             true
         };
         if tokio::time::timeout(DRAIN, rest).await == Ok(true) {
-            self.pool.put(addr, conn);
+            self.pool.put(peer, conn);
         }
     }
 
     async fn exchange(&self, job: Job) -> (Outcome, Option<Report>, Option<Conn>) {
-        let mut conn = match self.pool.get(job.addr).await {
+        let mut conn = match self.pool.get(job.peer).await {
             Ok(conn) => conn,
             Err(NoConn::Failed) => return (Outcome::ConnectFailed, None, None),
             // Not the replica's fault: nothing may be held against it.
@@ -113,6 +113,7 @@
                 Some(Ok(part)) => {
                     if let Part::Head(head) = &part {
                         keep = head.keep;
+                        tracing::debug!("{:?} from {} for {:?}", head.start, job.peer.1, job.request);
                     }
                     answer.feed(part, &mut steps);
                 }
@@ -148,17 +149,17 @@
     pub async fn probe(self, replica: ReplicaId, addr: Option<SocketAddr>) {
         let (outcome, report) = match addr {
             None => (Outcome::ConnectFailed, None),
-            Some(addr) => tokio::time::timeout(self.bounds.probe, self.ask(addr))
+            Some(addr) => tokio::time::timeout(self.bounds.probe, self.ask((replica, addr)))
                 .await
                 .unwrap_or((Outcome::TimedOut, None)),
         };
         let _ = self.tell.send(Input::Probed { replica, outcome, report }.into()).await;
     }
 
-    async fn ask(&self, addr: SocketAddr) -> (Outcome, Option<Report>) {
-        let Ok(mut conn) = self.pool.get(addr).await else { return (Outcome::ConnectFailed, None) };
+    async fn ask(&self, peer: Peer) -> (Outcome, Option<Report>) {
+        let Ok(mut conn) = self.pool.get(peer).await else { return (Outcome::ConnectFailed, None) };
         let target = if self.boot.names.fields.is_empty() { "/healthz" } else { "/load" };
-        if write(&mut conn, request::get(target, &addr.to_string()), Bytes::new()).await.is_err() {
+        if write(&mut conn, request::get(target, &peer.1.to_string()), Bytes::new()).await.is_err() {
             return (Outcome::ConnectFailed, None);
         }
         let (mut status, mut keep, mut body) = (0, false, Vec::new());
@@ -175,7 +176,7 @@
             }
         }
         if keep {
-            self.pool.put(addr, conn);
+            self.pool.put(peer, conn);
         }
         let load = std::str::from_utf8(&body).ok().and_then(|text| report(text, &self.boot));
         (probed(status), load)
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -846,8 +846,60 @@
             rig.start(id, 0.2);
             rig.end(id, 0, outcome, true);
         }
-        rig.wait(1.0);
+        rig.wait(0.8);
         rig.fill()
     };
     assert!(room_after(Outcome::Reset) < room_after(Outcome::Served));
 }
+
+#[test]
+fn replicas_that_have_gone_are_forgotten_once_they_owe_nothing() {
+    let mut rig = Rig::new(settings(), 1);
+    assert_eq!(sends(&rig.tell(Event::Arrived(request(1, 1, 0, 5.0)))).len(), 1);
+    for n in 0..50 {
+        rig.tell(Event::ListChanged(vec![
+            listing(n, ReplicaState::Gone, None),
+            listing(n + 1, ReplicaState::Up, None),
+        ]));
+    }
+    // The first one still holds a request.
+    assert_eq!(rig.brain.replicas(), 2);
+    rig.end(1, 0, Outcome::Served, true);
+    rig.tell(Event::ListFull(vec![listing(50, ReplicaState::Up, None)]));
+    assert_eq!(rig.brain.replicas(), 1);
+}
+
+#[test]
+fn windows_do_not_shrink_while_requests_wait_longer_here_than_there() {
+    let mut rig = Rig::new(settings(), 1);
+    let before = rig.fill();
+    for n in 0..before {
+        rig.start(1000 + n, 0.2);
+    }
+    for n in 0..40 {
+        // The next one has been held for longer than its first token then takes.
+        rig.wait(0.8);
+        rig.end(1000 + n, 0, Outcome::Served, true);
+        rig.start(1000 + before + n, 0.6);
+        rig.tell(Event::Arrived(request(1001 + before + n, 0, 0, 30.0)));
+    }
+    for n in 40..=before + 40 {
+        rig.end(1000 + n, 0, Outcome::Served, true);
+    }
+    rig.tell(Event::ClientGone(RequestId(1000 + before + 40)));
+    let mut sent = 0;
+    for n in 5000..5030 {
+        sent += sends(&rig.tell(Event::Arrived(request(n, 0, 0, 30.0)))).len() as u64;
+    }
+    assert!(sent >= before, "{before} then {sent}");
+}
+
+#[test]
+fn a_request_at_fault_fails_at_once_and_is_held_against_no_replica() {
+    let mut rig = Rig::new(settings(), 1);
+    for n in 0..6 {
+        assert_eq!(sends(&rig.tell(Event::Arrived(request(n, 0, 0, 30.0)))).len(), 1, "request {n}");
+        let actions = rig.end(n, 0, Outcome::Rejected, false);
+        assert_eq!(actions, [Action::Fail { request: RequestId(n) }]);
+    }
+}
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -164,4 +164,4 @@
     )*};
 }
 
-exchanges! { served broken declined rejected gone chunked_request duplicate drained stopped pipelined reloaded }
+exchanges! { served broken declined rejected gone chunked_request duplicate drained stopped pipelined reloaded spoilt at_fault }
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -1,11 +1,14 @@
 //! Bytes to messages, without a socket: pieces of any size, lists, configuration.
 
 use bytes::BytesMut;
+use poppykeel::interface::Outcome;
 use poppykeel::program::config::Config;
+use poppykeel::protocol::answer::{Answer, Step};
 use poppykeel::protocol::discovery::{identity, read, Directory, Moment};
-use poppykeel::protocol::http::{Http, Part, Side};
+use poppykeel::protocol::http::{Fault, Http, Part, Side};
 use poppykeel::wire::Boot;
 use serde_json::json;
+use std::rc::Rc;
 use tokio_util::codec::Decoder;
 
 const CONFIG: &str = include_str!("exchanges/config.json");
@@ -81,3 +84,40 @@
         assert!(error.contains(key) && error.lines().count() == 1, "{key}: {error}");
     }
 }
+
+fn feed(bodies: &[&str], end: bool) -> Vec<Step> {
+    let settings = serde_json::from_str::<serde_json::Value>(CONFIG).unwrap()["settings"].to_string();
+    let mut answer = Answer::new(Rc::new(Boot::read(&settings).unwrap()));
+    let mut steps = Vec::new();
+    let mut buffer = BytesMut::from("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n");
+    answer.feed(Http::new(Side::Client).decode(&mut buffer).unwrap().unwrap(), &mut steps);
+    let bodies = bodies.iter().map(|b| Part::Body(b.to_string().into()));
+    bodies.chain(end.then_some(Part::End)).for_each(|part| answer.feed(part, &mut steps));
+    steps
+}
+
+#[test]
+fn a_stream_without_an_event_was_not_served() {
+    let spoilt = [Step::Done(Outcome::Reset, None)];
+    assert_eq!(feed(&["what is this"], true), spoilt);
+    assert_eq!(feed(&[], true), spoilt);
+    assert_eq!(feed(&["x".repeat(100_000).as_str()], false), spoilt);
+    // Later the client has had its beginning; what never ends is cut off all the same.
+    let late = feed(&["data: 1\n\n", &"x".repeat(100_000)], false);
+    assert_eq!(late.last(), spoilt.last());
+    assert_eq!(late.len(), 3, "{late:?}");
+    assert_eq!(feed(&["data: 1\n\n"], true).last(), Some(&Step::Done(Outcome::Served, None)));
+}
+
+#[test]
+fn what_never_ends_in_an_answer_is_refused_at_once() {
+    let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(10);
+    let good = format!("{interim}HTTP/1.1 204 No\r\n\r\n");
+    assert_eq!(decode(good.repeat(3).as_bytes(), 7), (vec![], 3, 3));
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for bad in [interim.repeat(9), format!("{head}C0000000\r\nx"), format!("{head}FFFFFFFFFFFFFFFFF\r\n")] {
+        let (mut http, mut buffer) = (Http::new(Side::Client), BytesMut::from(bad.as_str()));
+        let fault = (0..9).map(|_| http.decode(&mut buffer)).find_map(Result::err);
+        assert!(matches!(fault, Some(Fault::Malformed(_))), "{bad}: {fault:?}");
+    }
+}
