Make a workspace: resolver, stand-in name server and account of membership

Membership was one HTTP source, merged nowhere, and installations with DNS SRV could not use the node.

Three packages without sockets in their cores: crates/dns asks, checks, retries and caches (record coding by hickory-proto), crates/dns-standin lies by a script, crates/membership folds the opinions of several sources by one table. The node does not use them yet. What drivers tell each other now stands in a file below them, so that hub, discovery, upstream, client, listener, answer and events no longer import each other in circles.

--- /dev/null
+++ b/crates/membership/src/book.rs
@@ -0,0 +1,353 @@
+//! What one source has told so far and how far it is believed: sudden losses are held, returns of flapping
+//! records are delayed, and what was taken away is remembered.
+
+use crate::{Absence, Entry, Kind, Micros, Opinion, SourceSettings, State, Told};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Addresses whose returns are remembered; the quietest are forgotten first.
+const MOST_FLAPS: usize = 16_384;
+
+/// An entry's place in the book: its name, and for addressing sources its address too, since one name may lead
+/// to several.
+type Place = (String, Option<SocketAddr>);
+
+#[derive(Clone, Debug)]
+pub(crate) struct Known {
+    pub(crate) entry: Arc<Entry>,
+    /// Since when it is said to be in its present state.
+    pub(crate) since: Micros,
+    /// When its present start was seen to be new; `None` where it was there in the first answer.
+    pub(crate) started: Option<Micros>,
+    /// Lacking in so many answers since then, and not believed yet.
+    missing: Option<(Micros, u32)>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Flap {
+    returns: u32,
+    last: Micros,
+    /// Kept out until then.
+    until: Micros,
+}
+
+/// One source's book.
+#[derive(Debug)]
+pub(crate) struct Book {
+    pub(crate) settings: SourceSettings,
+    answered: bool,
+    pub(crate) failing: Option<Micros>,
+    live: BTreeMap<Place, Known>,
+    at: BTreeMap<SocketAddr, BTreeSet<Place>>,
+    /// Since when addresses and names are taken away.
+    gone_addrs: BTreeMap<SocketAddr, Micros>,
+    gone_names: BTreeMap<String, Micros>,
+    /// Believed losses of the last hold time.
+    losses: VecDeque<(Micros, usize)>,
+    flaps: BTreeMap<SocketAddr, Flap>,
+}
+
+/// An opinion, since when, and what it rests on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Held {
+    pub(crate) opinion: Opinion,
+    pub(crate) since: Micros,
+    /// For held ones: answers that said the same so far. For flapping ones: until when.
+    pub(crate) detail: Detail,
+}
+
+/// What a reason names beside the opinion.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Detail {
+    None,
+    Lacking(u32),
+    Flapping(Micros),
+}
+
+impl Book {
+    pub(crate) fn new(settings: SourceSettings) -> Self {
+        let (answered, failing, live, at) = Default::default();
+        let (gone_addrs, gone_names, losses, flaps) = Default::default();
+        Book { settings, answered, failing, live, at, gone_addrs, gone_names, losses, flaps }
+    }
+
+    pub(crate) fn told(&mut self, now: Micros, told: Told) {
+        match told {
+            Told::Failed => {
+                self.failing.get_or_insert(now);
+                return;
+            }
+            Told::Whole(entries) => self.whole(now, entries),
+            Told::Changes(entries) => {
+                for entry in entries {
+                    self.entry(now, entry);
+                }
+                // Nothing new about what is lacking: that is one more answer that lacks it.
+                self.confirm(now);
+            }
+        }
+        self.answered = true;
+        self.failing = None;
+    }
+
+    fn place(&self, entry: &Entry) -> Place {
+        let addr = (self.settings.kind == Kind::Addressing).then_some(entry.addr);
+        (entry.name.clone(), addr)
+    }
+
+    fn whole(&mut self, now: Micros, entries: Vec<Entry>) {
+        let listed: BTreeSet<Place> = entries.iter().map(|e| self.place(e)).collect();
+        let alive = |k: &Known| k.entry.state == State::Up;
+        let up = self.live.values().filter(|k| alive(k)).count();
+        let (lost, drained): (Vec<Place>, Vec<Place>) =
+            self.live.keys().filter(|p| !listed.contains(*p)).cloned().partition(|p| alive(&self.live[p]));
+        let addrs: BTreeSet<SocketAddr> = entries.iter().map(|e| e.addr).collect();
+        let renamed = |p: &Place| p.1.is_some_and(|addr| addrs.contains(&addr));
+        let (renamed, lost): (Vec<Place>, Vec<Place>) = lost.into_iter().partition(renamed);
+        // Neither the end of a drain nor another name for an address is a surprise.
+        drained.iter().chain(&renamed).for_each(|p| self.withdraw(now, p));
+        let sudden = !lost.is_empty() && self.sudden(now, lost.len(), up - renamed.len(), listed.is_empty());
+        if sudden {
+            for place in lost {
+                let Some(known) = self.live.get_mut(&place) else { continue };
+                let (since, count) = known.missing.unwrap_or((now, 0));
+                known.missing = Some((since, count + 1));
+            }
+            self.believe(now);
+        } else if !lost.is_empty() {
+            self.losses.push_back((now, lost.len()));
+            lost.iter().for_each(|p| self.withdraw(now, p));
+        }
+        for entry in entries {
+            self.entry(now, entry);
+        }
+    }
+
+    /// Whether a loss is too large to be believed at once. What was lost bit by bit within one hold counts too.
+    fn sudden(&mut self, now: Micros, lost: usize, up: usize, nothing: bool) -> bool {
+        let Some(guard) = self.settings.guard else { return false };
+        while self.losses.front().is_some_and(|l| now.saturating_sub(l.0) >= guard.hold) {
+            self.losses.pop_front();
+        }
+        let before: usize = self.losses.iter().map(|l| l.1).sum();
+        nothing || (lost + before) as f64 > guard.part * (up + before) as f64
+    }
+
+    fn confirm(&mut self, now: Micros) {
+        for known in self.live.values_mut() {
+            known.missing = known.missing.map(|(since, count)| (since, count + 1));
+        }
+        self.believe(now);
+    }
+
+    fn believe(&mut self, now: Micros) {
+        let Some(guard) = self.settings.guard else { return };
+        let ripe = |m: (Micros, u32)| now.saturating_sub(m.0) >= guard.hold && m.1 >= guard.confirmations;
+        let gone: Vec<Place> =
+            self.live.iter().filter(|(_, k)| k.missing.is_some_and(ripe)).map(|(p, _)| p.clone()).collect();
+        gone.iter().for_each(|p| self.withdraw(now, p));
+    }
+
+    fn withdraw(&mut self, now: Micros, place: &Place) {
+        self.take_away(now, place, self.settings.absence == Absence::Removes);
+    }
+
+    /// Takes an entry out of the book; `mark` says that the server itself is taken away.
+    fn take_away(&mut self, now: Micros, place: &Place, mark: bool) {
+        let Some(known) = self.live.remove(place) else { return };
+        let addr = known.entry.addr;
+        if self.leave(place, addr) && mark {
+            self.gone_addrs.insert(addr, now);
+        }
+        if mark && self.settings.kind == Kind::Naming {
+            self.gone_names.insert(place.0.clone(), now);
+        }
+    }
+
+    /// Unhooks an entry from an address; true where it was the last one there.
+    fn leave(&mut self, place: &Place, addr: SocketAddr) -> bool {
+        let Some(places) = self.at.get_mut(&addr) else { return false };
+        places.remove(place);
+        let last = places.is_empty();
+        if last {
+            self.at.remove(&addr);
+        }
+        last
+    }
+
+    fn entry(&mut self, now: Micros, entry: Entry) {
+        let place = self.place(&entry);
+        if entry.state == State::Removed {
+            if self.live.contains_key(&place) {
+                return self.take_away(now, &place, true);
+            }
+            // Never listed here, and taken away all the same: others may list it.
+            if !self.at.contains_key(&entry.addr) {
+                self.gone_addrs.entry(entry.addr).or_insert(now);
+            }
+            if self.settings.kind == Kind::Naming {
+                self.gone_names.entry(entry.name).or_insert(now);
+            }
+            return;
+        }
+        let (addr, before) = (entry.addr, self.live.get(&place).cloned());
+        let started = match &before {
+            Some(known) if entry.started_ms > known.entry.started_ms => Some(now),
+            Some(known) => known.started,
+            None => self.answered.then_some(now),
+        };
+        let same = before.as_ref().filter(|k| k.entry.state == entry.state);
+        let since = same.map_or(now, |k| k.since);
+        if let Some(old) = before.as_ref().map(|k| k.entry.addr).filter(|old| *old != addr) {
+            // It has moved: nobody is known to be at the old address now.
+            if self.leave(&place, old) {
+                self.gone_addrs.insert(old, now);
+            }
+        }
+        if before.is_none() {
+            self.returned(now, addr);
+        }
+        let entry = match before {
+            Some(known) if *known.entry == entry => known.entry,
+            _ => Arc::new(entry),
+        };
+        self.gone_addrs.remove(&addr);
+        self.gone_names.remove(&place.0);
+        self.at.entry(addr).or_default().insert(place.clone());
+        self.live.insert(place, Known { entry, since, started, missing: None });
+    }
+
+    /// Counts the returns of an address that was taken away.
+    fn returned(&mut self, now: Micros, addr: SocketAddr) {
+        let left = self.gone_addrs.get(&addr).filter(|since| **since < now);
+        let (Some(flaps), Some(_)) = (self.settings.flaps, left) else { return };
+        let mut flap = self.flaps.get(&addr).copied().unwrap_or_default();
+        if now.saturating_sub(flap.last) > flaps.window.max(flap.until.saturating_sub(flap.last)) {
+            flap = Flap::default();
+        }
+        flap.returns += 1;
+        flap.last = now;
+        if let Some(beyond) = flap.returns.checked_sub(flaps.free + 1) {
+            let hold = flaps.hold.saturating_mul(1 << beyond.min(20)).min(flaps.most);
+            flap.until = now.saturating_add(hold);
+        }
+        self.flaps.insert(addr, flap);
+        if self.flaps.len() > MOST_FLAPS {
+            let quietest = self.flaps.iter().min_by_key(|(a, f)| (f.last, **a)).map(|(a, _)| *a);
+            quietest.map(|a| self.flaps.remove(&a));
+        }
+    }
+
+    /// Addresses that are kept out now because their records come and go. Where that would keep out more than
+    /// half of what is listed, the source is as it is and none is kept out.
+    pub(crate) fn calmed(&self, now: Micros) -> BTreeMap<SocketAddr, Micros> {
+        let out = self.flaps.iter().filter(|(a, f)| f.until > now && self.at.contains_key(a));
+        let out: BTreeMap<SocketAddr, Micros> = out.map(|(a, f)| (*a, f.until)).collect();
+        if out.len() * 2 > self.at.len() {
+            return BTreeMap::new();
+        }
+        out
+    }
+
+    /// When a flapping record may be let in next.
+    pub(crate) fn due(&self, now: Micros) -> Option<Micros> {
+        self.flaps.values().map(|f| f.until).filter(|until| *until > now).min()
+    }
+
+    pub(crate) fn known(&self, name: &str) -> Option<&Known> {
+        // Only naming sources are asked by name.
+        self.live.get(&(name.to_string(), None))
+    }
+
+    pub(crate) fn live(&self) -> impl Iterator<Item = &Known> {
+        self.live.values()
+    }
+
+    /// What is listed at an address, by name.
+    pub(crate) fn at(&self, addr: SocketAddr) -> impl Iterator<Item = &Known> {
+        self.at.get(&addr).into_iter().flatten().filter_map(|p| self.live.get(p))
+    }
+
+    pub(crate) fn addrs(&self) -> impl Iterator<Item = &SocketAddr> {
+        self.at.keys()
+    }
+
+    /// What this source thinks of a server: its name where it has one, its address, and when its present start
+    /// was first seen, which is stronger than an earlier drain or removal told by another source.
+    pub(crate) fn opinion(
+        &self,
+        name: Option<&str>,
+        addr: SocketAddr,
+        start: Option<Micros>,
+        calmed: &BTreeMap<SocketAddr, Micros>,
+    ) -> Held {
+        let named = name.filter(|_| self.settings.kind == Kind::Naming);
+        let own = named.and_then(|n| self.known(n));
+        let mut found: Option<Held> = None;
+        let here: Vec<&Known> = match (own, self.settings.kind) {
+            (Some(known), _) => vec![known],
+            (None, Kind::Addressing) => self.at(addr).collect(),
+            (None, Kind::Naming) => Vec::new(),
+        };
+        for known in here {
+            let held = self.of(known);
+            if held.opinion == Opinion::Draining && start > Some(held.since) && own.is_none() {
+                continue;
+            }
+            // Two names of one address: the one that says more of it counts.
+            if found.is_none_or(|f| held.opinion > f.opinion) {
+                found = Some(held);
+            }
+        }
+        if let (Some(held), Some(until)) = (found, calmed.get(&addr)) {
+            let detail = Detail::Flapping(*until);
+            return Held { opinion: Opinion::Removed, since: held.since, detail };
+        }
+        if let Some(held) = found {
+            return held;
+        }
+        let gone = named.and_then(|n| self.gone_names.get(n)).or(self.gone_addrs.get(&addr));
+        let detail = Detail::None;
+        match gone {
+            Some(since) if start <= Some(*since) => Held { opinion: Opinion::Removed, since: *since, detail },
+            _ if self.answered => Held { opinion: Opinion::Absent, since: 0, detail },
+            _ => Held { opinion: Opinion::Silent, since: 0, detail },
+        }
+    }
+
+    fn of(&self, known: &Known) -> Held {
+        if known.entry.state == State::Draining {
+            return Held { opinion: Opinion::Draining, since: known.since, detail: Detail::None };
+        }
+        match (known.missing, self.failing) {
+            (Some((since, count)), _) => {
+                Held { opinion: Opinion::Held, since, detail: Detail::Lacking(count) }
+            }
+            (None, Some(since)) => Held { opinion: Opinion::Stale, since, detail: Detail::None },
+            (None, None) => Held { opinion: Opinion::Listed, since: known.since, detail: Detail::None },
+        }
+    }
+
+    /// Forgets what was taken away before `until` and is listed by nobody.
+    pub(crate) fn forget(&mut self, until: Micros, listed: impl Fn(&SocketAddr) -> bool) {
+        self.gone_addrs.retain(|addr, since| *since >= until || listed(addr));
+        self.gone_names.retain(|_, since| *since >= until);
+        self.flaps.retain(|_, f| f.last >= until);
+    }
+
+    /// Keeps at most so many marks of what was taken away, the newest ones.
+    pub(crate) fn bound(&mut self, most: usize) {
+        fn newest<K: Ord + Clone>(map: &mut BTreeMap<K, Micros>, most: usize) {
+            if map.len() > most {
+                let mut order: Vec<(Micros, K)> = map.iter().map(|(k, s)| (*s, k.clone())).collect();
+                order.sort();
+                for (_, key) in &order[..map.len() - most] {
+                    map.remove(key);
+                }
+            }
+        }
+        newest(&mut self.gone_addrs, most);
+        newest(&mut self.gone_names, most);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/merge.rs
@@ -0,0 +1,295 @@
+//! The one list: every source's opinion of every server, folded by the table.
+
+use crate::book::{Book, Detail, Held, Known};
+use crate::{standing, wins, Entry, Kind, Micros, Opinion, Settings, Standing, Told};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Marks of what was taken away, for each source.
+const MOST_GONE: usize = 65_536;
+/// Servers that are out stay in the account this long after they have left it, for whoever asks why.
+const SHOWN: Micros = 600_000_000;
+/// ... and so many of them at most.
+const MOST_LEFT: usize = 4096;
+
+/// One server of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its name, which no other server has or has had: a naming source's id, or its first name in DNS.
+    pub name: String,
+    /// How it stands.
+    pub standing: Standing,
+    /// What is told of it, by the first source that describes it.
+    pub entry: Arc<Entry>,
+    /// Weight and priority, from whichever source has them.
+    pub weight: Option<f64>,
+    /// See there.
+    pub priority: Option<u16>,
+    /// Each source's opinion, in the order of the settings.
+    pub opinions: Vec<Opinion>,
+    decided: Decided,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Decided {
+    source: usize,
+    held: Held,
+    standby: bool,
+}
+
+/// Names that lead to an address of which no naming source knows, and the server's name that follows.
+#[derive(Clone, Debug)]
+struct Unnamed {
+    names: BTreeSet<String>,
+    server: String,
+    births: u32,
+    seen: Micros,
+}
+
+/// The account.
+#[derive(Debug)]
+pub struct Membership {
+    settings: Settings,
+    books: Vec<Book>,
+    unnamed: BTreeMap<SocketAddr, Unnamed>,
+    servers: BTreeMap<String, Server>,
+    left: BTreeMap<String, (Micros, Server)>,
+    forgot: Micros,
+    now: Micros,
+}
+
+impl Membership {
+    /// An account that has been told nothing yet.
+    pub fn new(settings: Settings) -> Self {
+        let books = settings.sources.iter().cloned().map(Book::new).collect();
+        let (unnamed, servers, left) = Default::default();
+        Membership { settings, books, unnamed, servers, left, forgot: 0, now: 0 }
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Takes new settings. A source that stays, by its name, keeps what it has told.
+    pub fn set(&mut self, now: Micros, settings: Settings) -> Vec<Server> {
+        let mut old = std::mem::take(&mut self.books);
+        for source in &settings.sources {
+            let kept = old.iter().position(|b| b.settings.name == source.name);
+            let mut book = match kept {
+                Some(at) => old.swap_remove(at),
+                None => Book::new(source.clone()),
+            };
+            book.settings = source.clone();
+            self.books.push(book);
+        }
+        self.settings = settings;
+        self.turn(now)
+    }
+
+    /// What a source tells, by its place in the settings. Returned are the servers that have changed, those that
+    /// have left included, as out.
+    pub fn told(&mut self, now: Micros, source: usize, told: Told) -> Vec<Server> {
+        let now = self.at(now);
+        let Some(book) = self.books.get_mut(source) else { return Vec::new() };
+        book.told(now, told);
+        book.bound(MOST_GONE);
+        self.turn(now)
+    }
+
+    /// When `turn` must be called next, if nothing comes before.
+    pub fn due(&self) -> Option<Micros> {
+        self.books.iter().filter_map(|b| b.due(self.now)).min()
+    }
+
+    /// Looks at the time: what was held until now may be let in.
+    pub fn turn(&mut self, now: Micros) -> Vec<Server> {
+        let now = self.at(now);
+        self.forget(now);
+        let next = self.merge(now);
+        let mut changes: Vec<Server> = Vec::new();
+        for (name, server) in &next {
+            if self.servers.get(name).is_none_or(|old| differs(old, server)) {
+                changes.push(server.clone());
+            }
+            self.left.remove(name);
+        }
+        let before = std::mem::replace(&mut self.servers, next);
+        for (name, mut server) in before {
+            if !self.servers.contains_key(&name) {
+                let was = std::mem::replace(&mut server.standing, Standing::Out);
+                if was != Standing::Out {
+                    changes.push(server.clone());
+                }
+                self.left.insert(name, (now, server));
+            }
+        }
+        changes
+    }
+
+    /// The list: every server that a source lists or has taken away, by name.
+    pub fn servers(&self) -> Vec<Server> {
+        // One that has left under one name and is still listed under another is shown once.
+        let there: BTreeSet<SocketAddr> = self.servers.values().map(|s| s.entry.addr).collect();
+        let left = self.left.values().map(|l| &l.1).filter(|s| !there.contains(&s.entry.addr));
+        self.servers.values().chain(left).cloned().collect()
+    }
+
+    /// Servers that take work now.
+    pub fn usable(&self) -> usize {
+        self.servers.values().filter(|s| s.standing <= Standing::Held).count()
+    }
+
+    /// Why a server stands as it does, in words.
+    pub fn reason(&self, server: &Server) -> String {
+        let Decided { source, held, standby } = server.decided;
+        let name = |n: usize| self.settings.sources.get(n).map_or("?", |s| s.name.as_str());
+        let by = name(source);
+        let ago = format!("{:.1} s", self.now.saturating_sub(held.since) as f64 / 1e6);
+        if standby {
+            return format!("{by} lists it with a higher priority number than others that are in");
+        }
+        if !self.servers.contains_key(&server.name) {
+            return "no source lists it any more".to_string();
+        }
+        match (held.opinion, held.detail) {
+            (_, Detail::Flapping(until)) => {
+                let more = until.saturating_sub(self.now) as f64 / 1e6;
+                format!("its record in {by} comes and goes; kept out for {more:.1} s more")
+            }
+            (Opinion::Held, Detail::Lacking(count)) => {
+                format!("{by} lacks it since {ago}, among many; {count} answers said so and it is not believed yet")
+            }
+            (Opinion::Listed, _) => format!("{by} lists it"),
+            (Opinion::Draining, _) => format!("{by} drains it since {ago}"),
+            (Opinion::Stale, _) => format!("{by} listed it at last and cannot be asked since {ago}"),
+            (Opinion::Removed, _) => format!("{by} took it away {ago} ago"),
+            _ => "no source lists it".to_string(),
+        }
+    }
+
+    /// Sources by name with their opinion of a server, those without one left out.
+    pub fn sources(&self, server: &Server) -> Vec<(String, Opinion)> {
+        let named = self.settings.sources.iter().zip(&server.opinions);
+        named.filter(|(_, o)| **o > Opinion::Absent).map(|(s, o)| (s.name.clone(), *o)).collect()
+    }
+
+    fn at(&mut self, now: Micros) -> Micros {
+        self.now = self.now.max(now);
+        self.now
+    }
+
+    /// Now and then, what nobody has listed for long is forgotten.
+    fn forget(&mut self, now: Micros) {
+        let keep = self.settings.forget;
+        self.left.retain(|_, l| now.saturating_sub(l.0) < SHOWN);
+        while self.left.len() > MOST_LEFT {
+            self.left.pop_first();
+        }
+        if self.unnamed.len() > MOST_GONE {
+            let books = &self.books;
+            self.unnamed.retain(|addr, _| books.iter().any(|b| b.at(*addr).next().is_some()));
+        }
+        if now.saturating_sub(self.forgot) < keep / 16 + 1 || now < keep {
+            return;
+        }
+        self.forgot = now;
+        let listed: BTreeSet<SocketAddr> = self.books.iter().flat_map(|b| b.addrs().copied()).collect();
+        for book in &mut self.books {
+            book.forget(now - keep, |addr| listed.contains(addr));
+        }
+        self.unnamed.retain(|addr, u| u.seen >= now - keep || listed.contains(addr));
+    }
+
+    fn merge(&mut self, now: Micros) -> BTreeMap<String, Server> {
+        let calmed: Vec<_> = self.books.iter().map(|b| b.calmed(now)).collect();
+        let mut named: BTreeMap<&str, Vec<&Known>> = BTreeMap::new();
+        for book in self.books.iter().filter(|b| b.settings.kind == Kind::Naming) {
+            for known in book.live() {
+                named.entry(&known.entry.name).or_default().push(known);
+            }
+        }
+        let taken: BTreeSet<SocketAddr> = named.values().flatten().map(|k| k.entry.addr).collect();
+        let mut next = BTreeMap::new();
+        for (name, known) in named {
+            let start = known.iter().filter_map(|k| k.started).max();
+            let addr = known[0].entry.addr;
+            let opinions: Vec<Held> =
+                self.books.iter().zip(&calmed).map(|(b, c)| b.opinion(Some(name), addr, start, c)).collect();
+            let also = self.books.iter().flat_map(|b| b.at(addr)).filter(|k| k.entry.name != name);
+            let server = decide(name.to_string(), known[0].entry.clone(), also, &opinions);
+            next.insert(server.name.clone(), server);
+        }
+        // Addresses that no name stands at: what lists them, and what has been taken away from them.
+        let mut addrs: BTreeMap<SocketAddr, Vec<&Known>> = BTreeMap::new();
+        for book in self.books.iter().filter(|b| b.settings.kind == Kind::Addressing) {
+            for addr in book.addrs().filter(|a| !taken.contains(*a)) {
+                addrs.entry(*addr).or_default().extend(book.at(*addr));
+            }
+        }
+        for (addr, known) in addrs {
+            let names: BTreeSet<String> = known.iter().map(|k| k.entry.name.clone()).collect();
+            let first = names.first().cloned().unwrap_or_default();
+            let place = self.unnamed.entry(addr).or_insert_with(|| Unnamed {
+                names: names.clone(),
+                server: format!("{first}@{addr}"),
+                births: 1,
+                seen: now,
+            });
+            if place.names.is_disjoint(&names) {
+                // Other names altogether: another server at the old address, which inherits nothing.
+                place.births += 1;
+                place.server = format!("{first}@{addr}#{}", place.births);
+            }
+            (place.names, place.seen) = (names, now);
+            let (name, entry) = (place.server.clone(), known[0].entry.clone());
+            let opinions: Vec<Held> =
+                self.books.iter().zip(&calmed).map(|(b, c)| b.opinion(None, addr, None, c)).collect();
+            let server = decide(name, entry, known.into_iter().skip(1), &opinions);
+            next.insert(server.name.clone(), server);
+        }
+        if self.settings.standby {
+            stand_by(&mut next);
+        }
+        next
+    }
+}
+
+/// Folds the opinions by the table; the first source that holds the one that counts is named as the reason.
+fn decide<'a>(
+    name: String,
+    entry: Arc<Entry>,
+    also: impl Iterator<Item = &'a Known>,
+    held: &[Held],
+) -> Server {
+    let counts = held.iter().map(|h| h.opinion).fold(Opinion::Silent, wins);
+    let source = held.iter().position(|h| h.opinion == counts).unwrap_or(0);
+    let (mut weight, mut priority) = (entry.weight, entry.priority);
+    for known in also {
+        weight = weight.or(known.entry.weight);
+        priority = priority.or(known.entry.priority);
+    }
+    let decided = Decided { source, held: held[source], standby: false };
+    let opinions = held.iter().map(|h| h.opinion).collect();
+    Server { name, standing: standing(counts), entry, weight, priority, opinions, decided }
+}
+
+/// RFC 2782: a target of a higher priority number is for when no other can be had.
+fn stand_by(servers: &mut BTreeMap<String, Server>) {
+    let usable = |s: &Server| s.standing <= Standing::Held;
+    let least = servers.values().filter(|s| usable(s)).map(|s| s.priority.unwrap_or(0)).min();
+    for server in servers.values_mut() {
+        if usable(server) && Some(server.priority.unwrap_or(0)) > least {
+            server.standing = Standing::Out;
+            server.decided.standby = true;
+        }
+    }
+}
+
+/// Whether a change is worth telling. What it rests on may change unseen.
+fn differs(old: &Server, new: &Server) -> bool {
+    let told = |s: &Server| (s.standing, s.weight, s.priority);
+    let same = Arc::ptr_eq(&old.entry, &new.entry) || old.entry == new.entry;
+    told(old) != told(new) || !same
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,9 +68,6 @@
 //! # Ok(())
 //! # }
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
-
 pub mod brain;
 #[allow(missing_docs)] // variants and fields that say all by their names
 pub mod interface;
--- a/src/protocol/answer.rs
+++ b/src/protocol/answer.rs
@@ -3,9 +3,9 @@
 use crate::interface::{Outcome, Report};
 use crate::protocol::events::Scan;
 use crate::protocol::http::{Head, Headers, Part, Start};
+use crate::protocol::report::report;
 use crate::wire::Boot;
 use bytes::{Bytes, BytesMut};
-use serde_json::Value;
 use std::rc::Rc;
 
 /// The longest event: a stream that goes on without completing one is spoilt, and would never end.
@@ -121,18 +121,3 @@
         _ => Some(Outcome::Error),
     }
 }
-
-/// A load report in JSON; none where it can't be read, since a bad report must not cost the answer.
-pub fn report(text: &str, boot: &Boot) -> Option<Report> {
-    let value: Value = serde_json::from_str(text).ok()?;
-    value.is_object().then(|| boot.report(|name| value[name].as_f64()))
-}
-
-/// The outcome of a probe by its status.
-pub fn probed(status: u16) -> Outcome {
-    if status == 200 {
-        Outcome::Served
-    } else {
-        Outcome::Error
-    }
-}
--- a/src/protocol/events.rs
+++ b/src/protocol/events.rs
@@ -2,7 +2,7 @@
 //! in a comment line. Nothing is changed.
 
 use crate::interface::Report;
-use crate::protocol::answer::report;
+use crate::protocol::report::report;
 use crate::wire::Boot;
 
 /// Lines longer than this are events for certain and are not kept to be looked at.
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -1,8 +1,6 @@
 //! One client's connection: requests one after the other, each with one answer.
 
-use super::hub::{Answer, Message, Payload};
-use super::listener::Phase;
-use super::upstream::Piece;
+use super::messages::{Answer, Message, Payload, Phase, Piece};
 use super::{Bounds, Wire};
 use crate::interface::RequestId;
 use crate::protocol::http::{Fault, Head, Http, Out, Part, Side};
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -1,7 +1,7 @@
 //! The watch of discovery's list: one call after the other on one connection, each with a time limit of its
 //! own. A call that fails ends the watch; when it starts again is the module's to say.
 
-use super::hub::Message;
+use super::messages::Message;
 use super::{Bounds, Wire};
 use crate::protocol::discovery::{read, Update};
 use crate::protocol::http::{Http, Out, Part, Side, Start};
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -2,11 +2,11 @@
 
 use super::clock::Clock;
 use super::discovery::Watch;
-use super::upstream::{Job, Piece, Upstream};
-use crate::interface::{Arrival, RequestId};
+use super::messages::{Answer, Message, Payload, Piece};
+use super::upstream::{Job, Upstream};
+use crate::interface::RequestId;
 use crate::protocol::discovery::{Directory, Update};
 use crate::routing::{Command, Input, Micros, Router};
-use bytes::Bytes;
 use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
@@ -18,65 +18,6 @@
 /// How often the log says what has happened so far.
 const SUMMARY: Micros = 10_000_000;
 
-/// A client's request as it goes to replicas.
-pub struct Payload {
-    /// The head, but for the deadline.
-    pub head: Vec<u8>,
-    /// The body, unchanged.
-    pub body: Bytes,
-}
-
-/// What a client's driver is told.
-pub enum Answer {
-    /// Turned away until then.
-    Refused(Micros),
-    /// Failed.
-    Failed,
-    /// Another request of this id is live.
-    Duplicate,
-    /// The stream begins.
-    Stream {
-        /// Its content type.
-        content_type: String,
-        /// Its bytes.
-        body: mpsc::Receiver<Piece>,
-    },
-}
-
-/// What drivers tell the hub.
-pub enum Message {
-    /// For the core as it is.
-    Input(Input),
-    /// A request and where its answer goes.
-    Request {
-        /// What the module is told.
-        arrival: Arrival,
-        /// What replicas are sent.
-        payload: Payload,
-        /// To the client's driver.
-        answer: oneshot::Sender<Answer>,
-    },
-    /// The first event of an attempt.
-    First {
-        /// The request.
-        request: RequestId,
-        /// The attempt's number.
-        attempt: usize,
-        /// The stream's content type.
-        content_type: String,
-        /// The stream's bytes.
-        body: mpsc::Receiver<Piece>,
-    },
-    /// Discovery's newest answer.
-    List(Update),
-}
-
-impl From<Input> for Message {
-    fn from(input: Input) -> Self {
-        Message::Input(input)
-    }
-}
-
 struct Client {
     payload: Rc<Payload>,
     answer: oneshot::Sender<Answer>,
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts clients within the bounds, and ends the node in order.
 
 use super::client::{Client, Shared};
+use super::messages::Phase;
 use crate::protocol::request;
 use futures_util::FutureExt;
 use std::rc::Rc;
@@ -16,17 +17,6 @@
 /// When a client beyond the bound may come again.
 const AGAIN_US: u64 = 500_000;
 
-/// How far the node's life has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Clients may come and stay.
-    Serving,
-    /// Clients may come, but each answer is the last on its connection.
-    Draining,
-    /// Connections without a request are closed.
-    Closing,
-}
-
 /// Accepts until the phase says closing.
 pub async fn accept(listener: TcpListener, shared: Rc<Shared>, mut phase: watch::Receiver<Phase>) {
     let turned_away = Rc::new(());
--- /dev/null
+++ b/src/transport/messages.rs
@@ -0,0 +1,87 @@
+//! What drivers tell each other. Everything here is plain data; each driver uses this file and those below it.
+
+use crate::interface::Arrival;
+use crate::interface::RequestId;
+use crate::protocol::discovery::Update;
+use crate::routing::{Input, Micros};
+use bytes::Bytes;
+use tokio::sync::{mpsc, oneshot};
+
+/// A client's request as it goes to replicas.
+pub struct Payload {
+    /// The head, but for the deadline.
+    pub head: Vec<u8>,
+    /// The body, unchanged.
+    pub body: Bytes,
+}
+
+/// What a client's driver is told.
+pub enum Answer {
+    /// Turned away until then.
+    Refused(Micros),
+    /// Failed.
+    Failed,
+    /// Another request of this id is live.
+    Duplicate,
+    /// The stream begins.
+    Stream {
+        /// Its content type.
+        content_type: String,
+        /// Its bytes.
+        body: mpsc::Receiver<Piece>,
+    },
+}
+
+/// What drivers tell the hub.
+pub enum Message {
+    /// For the core as it is.
+    Input(Input),
+    /// A request and where its answer goes.
+    Request {
+        /// What the module is told.
+        arrival: Arrival,
+        /// What replicas are sent.
+        payload: Payload,
+        /// To the client's driver.
+        answer: oneshot::Sender<Answer>,
+    },
+    /// The first event of an attempt.
+    First {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: usize,
+        /// The stream's content type.
+        content_type: String,
+        /// The stream's bytes.
+        body: mpsc::Receiver<Piece>,
+    },
+    /// Discovery's newest answer.
+    List(Update),
+}
+
+impl From<Input> for Message {
+    fn from(input: Input) -> Self {
+        Message::Input(input)
+    }
+}
+
+/// A piece of a stream on its way to the client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Piece {
+    /// Bytes, unchanged.
+    Bytes(Bytes),
+    /// The whole stream has passed. A channel that closes without this says that it broke.
+    End,
+}
+
+/// How far the node's life has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Clients may come and stay.
+    Serving,
+    /// Clients may come, but each answer is the last on its connection.
+    Draining,
+    /// Connections without a request are closed.
+    Closing,
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod hub;
 pub mod listener;
+pub mod messages;
 pub mod pool;
 pub mod upstream;
 
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -1,12 +1,13 @@
 //! One attempt at a replica, and probes. Dropping the task closes the connection: that is how an attempt is
 //! abandoned, and why nothing of it can be used again.
 
-use super::hub::{Message, Payload};
+use super::messages::{Message, Payload, Piece};
 use super::pool::{Conn, NoConn, Peer, Pool};
 use super::Bounds;
 use crate::interface::{Outcome, ReplicaId, Report, RequestId};
-use crate::protocol::answer::{probed, report, Answer, Step};
+use crate::protocol::answer::{Answer, Step};
 use crate::protocol::http::{Out, Part, Start};
+use crate::protocol::report::{probed, report};
 use crate::protocol::request;
 use crate::routing::{Input, Micros};
 use crate::wire::Boot;
@@ -24,15 +25,6 @@
 /// An answer that was counted already is read to its end for so long, to use its connection again.
 const DRAIN: Duration = Duration::from_millis(500);
 
-/// A piece of a stream on its way to the client.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Piece {
-    /// Bytes, unchanged.
-    Bytes(Bytes),
-    /// The whole stream has passed. A channel that closes without this says that it broke.
-    End,
-}
-
 /// What every driver of replica connections shares.
 #[derive(Clone)]
 pub struct Upstream {
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -5,7 +5,7 @@
 use poppykeel::protocol::discovery::identity;
 use poppykeel::protocol::http::{Out, Part};
 use poppykeel::transport::client::{Client, Shared};
-use poppykeel::transport::listener::Phase;
+use poppykeel::transport::messages::Phase;
 use poppykeel::transport::pool::Pool;
 use std::io::{Read, Write};
 use std::net::TcpListener;
