Take DNS SRV as a source of servers beside discovery's list, by one stated rule

Installations that keep their servers in DNS could not be served, and the list was believed whatever it said.

Without the file the list alone counts, as before.

--- a/crates/dns/src/driver.rs
+++ b/crates/dns/src/driver.rs
@@ -4,7 +4,7 @@
 use crate::{Asked, Config, Event, Key, Micros, Resolver};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::mpsc;
@@ -64,12 +64,6 @@
     }
 }
 
-/// A clock for callers without one of their own: microseconds since its making.
-pub fn clock() -> impl Fn() -> Micros {
-    let start = Instant::now();
-    move || u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX)
-}
-
 /// The tasks of open sockets; dropping this ends them.
 struct Sockets(BTreeMap<Key, AbortHandle>);
 
--- a/crates/membership/src/merge.rs
+++ b/crates/membership/src/merge.rs
@@ -110,10 +110,10 @@
         let next = self.merge(now);
         let mut changes: Vec<Server> = Vec::new();
         for (name, server) in &next {
-            if self.servers.get(name).is_none_or(|old| differs(old, server)) {
+            let left = self.left.remove(name).map(|l| l.1);
+            if self.servers.get(name).or(left.as_ref()).is_none_or(|old| differs(old, server)) {
                 changes.push(server.clone());
             }
-            self.left.remove(name);
         }
         let before = std::mem::replace(&mut self.servers, next);
         for (name, mut server) in before {
--- a/src/program/config.rs
+++ b/src/program/config/mod.rs
@@ -1,4 +1,7 @@
-//! The one place where configuration is read, checked and given defaults. Every error names its key.
+//! The one place where configuration is read, checked and given defaults. Every error names its key. Here is the
+//! platform's JSON; `operator` is the operators' own file.
+
+pub mod operator;
 
 use crate::protocol::discovery::{self, Update};
 use crate::transport::Bounds;
@@ -79,7 +82,7 @@
             Boot::read(&v["settings"].to_string()).map_err(|e| format!("config: settings: expected {e}"))?;
         let known = match &v["known"] {
             Value::Null => None,
-            known => Some(discovery::read(known, &boot).map_err(|e| format!("config: known.{e}"))?),
+            known => Some(discovery::read(known).map_err(|e| format!("config: known.{e}"))?),
         };
         let memory = limit("memory_mb", MEMORY_MB, LEAST_MEMORY_MB)? << 20;
         let sockets = limit("sockets", SOCKETS, LEAST_SOCKETS)? - SPARE_SOCKETS;
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -1,10 +1,14 @@
 //! The command line.
 
 pub mod config;
+mod log;
+mod resolve;
 pub mod serve;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
+use config::operator::Operator;
 use config::Config;
+use log::Format;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -18,18 +22,58 @@
 #[derive(Subcommand)]
 enum Command {
     /// Serve clients until SIGTERM or SIGINT, then let what runs end
-    Serve(Source),
-    /// Read and check the configuration, and say what it comes to
-    Check(Source),
+    Serve(Serve),
+    /// Read and check the configuration, the operators' file or both, and say what they come to
+    Check(Check),
+    /// Ask each source of servers and show what it says and the list that follows, with reasons
+    Resolve(resolve::Resolve),
     /// Print the version
     Version,
 }
 
-#[derive(clap::Args)]
+#[derive(Args)]
+struct Serve {
+    #[command(flatten)]
+    source: Source,
+    #[command(flatten)]
+    operator: OperatorFile,
+    /// Log every event and command of the core, too
+    #[arg(long, env = "GW_VERBOSE")]
+    verbose: bool,
+    /// How lines of the log look
+    #[arg(long, env = "POPPYKEEL_LOG_FORMAT", value_enum, default_value = "text")]
+    log_format: Format,
+}
+
+#[derive(Args)]
+struct Check {
+    /// The configuration, as JSON
+    #[arg(long, env = "GW_CONFIG", value_name = "FILE", required_unless_present = "operator")]
+    config: Option<PathBuf>,
+    #[command(flatten)]
+    operator: OperatorFile,
+    #[command(flatten)]
+    over: Over,
+}
+
+#[derive(Args)]
 struct Source {
     /// The configuration, as JSON
     #[arg(long, env = "GW_CONFIG", value_name = "FILE")]
     config: PathBuf,
+    #[command(flatten)]
+    over: Over,
+}
+
+#[derive(Args)]
+struct OperatorFile {
+    /// The operators' file, as TOML; see deploy/operator.toml
+    #[arg(long, env = "POPPYKEEL_OPERATOR", value_name = "FILE")]
+    operator: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct Over {
     /// This node's name, in place of the configuration's
     #[arg(long, env = "GW_NAME")]
     name: Option<String>,
@@ -39,38 +83,66 @@
     /// Where discovery listens, in place of the configuration's
     #[arg(long, env = "GW_DISCOVERY", value_name = "ADDRESS")]
     discovery: Option<String>,
-    /// Log every event and command of the core, too
-    #[arg(long, env = "GW_VERBOSE")]
-    verbose: bool,
 }
 
-impl Source {
-    fn read(&self) -> Result<Config, String> {
+fn text(what: &str, path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{what} {}: {e}", path.display()))
+}
+
+impl Over {
+    fn read(&self, path: &Path) -> Result<Config, String> {
         let over = [("name", &self.name), ("listen", &self.listen), ("discovery", &self.discovery)];
-        self.read_over(&over.map(|(key, value)| (key, value.as_deref())))
+        Config::read(&text("config", path)?, &over.map(|(key, value)| (key, value.as_deref())))
     }
 
     /// Reads the file again, at SIGHUP. The environment is that of the start and says what discovery was then:
     /// it must not hide what the replaced file says now.
-    fn reread(&self) -> Result<Config, String> {
+    fn reread(&self, path: &Path) -> Result<Config, String> {
         let over = [("name", &self.name), ("listen", &self.listen)];
-        self.read_over(&over.map(|(key, value)| (key, value.as_deref())))
+        Config::read(&text("config", path)?, &over.map(|(key, value)| (key, value.as_deref())))
     }
+}
+
+impl OperatorFile {
+    /// What the file says; without one, nothing.
+    fn read(&self) -> Result<Operator, String> {
+        let Some(path) = &self.operator else { return Ok(Operator::default()) };
+        Operator::read(&text("operator", path)?).map_err(|e| format!("operator {}: {e}", path.display()))
+    }
+}
 
-    fn read_over(&self, over: &[(&str, Option<&str>)]) -> Result<Config, String> {
-        let path: &Path = &self.config;
-        let text = std::fs::read_to_string(path).map_err(|e| format!("config {}: {e}", path.display()))?;
-        Config::read(&text, over)
+impl Serve {
+    fn run(&self) -> Result<(), String> {
+        let path = &self.source.config;
+        let (config, operator) = (self.source.over.read(path)?, self.operator.read()?);
+        log::start(self.verbose, self.log_format);
+        serve::serve(config, operator, || Ok((self.source.over.reread(path)?, self.operator.read()?)))
+    }
+}
+
+impl Check {
+    fn run(&self) -> Result<(), String> {
+        if let Some(path) = &self.config {
+            println!("{}", self.over.read(path)?);
+        }
+        if self.operator.operator.is_some() {
+            println!("{}", self.operator.read()?);
+        }
+        Ok(())
     }
 }
 
 /// Runs the command line; an error is one line on standard error.
 pub fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Serve(source) => {
-            source.read().and_then(|config| serve::serve(config, source.verbose, || source.reread()))
-        }
-        Command::Check(source) => source.read().map(|config| println!("{config}")),
+        Command::Serve(serve) => serve.run(),
+        Command::Check(check) => check.run(),
+        Command::Resolve(resolve) => match resolve.run() {
+            Ok(true) => Ok(()),
+            // What there is to say has been shown.
+            Ok(false) => return ExitCode::FAILURE,
+            Err(e) => Err(e),
+        },
         Command::Version => {
             println!("poppykeel {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -1,14 +1,17 @@
 //! Puts a node together, and ends it in order.
 
+use super::config::operator::Operator;
 use super::config::Config;
+use crate::routing::directory::Directory;
 use crate::routing::Router;
 use crate::transport::client::Shared;
 use crate::transport::clock::Clock;
 use crate::transport::discovery::Watch;
 use crate::transport::hub::Hub;
 use crate::transport::listener::accept;
-use crate::transport::messages::Phase;
+use crate::transport::messages::{Message, Phase};
 use crate::transport::pool::Pool;
+use crate::transport::srv::Lookups;
 use crate::transport::upstream::Upstream;
 use crate::Brain;
 use std::rc::Rc;
@@ -28,11 +31,9 @@
 /// Serves until told to stop and until what runs has ended; `reread` gives the configuration as it is by then.
 pub fn serve(
     config: Config,
-    verbose: bool,
-    reread: impl Fn() -> Result<Config, String>,
+    operator: Operator,
+    reread: impl Fn() -> Result<(Config, Operator), String>,
 ) -> Result<(), String> {
-    let level = if verbose { tracing::Level::DEBUG } else { tracing::Level::INFO };
-    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).init();
     // The runtime would keep a panic inside its task, and the node would go on without that part.
     let report = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
@@ -41,10 +42,14 @@
     }));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(config, reread))
+    LocalSet::new().block_on(&runtime, run(config, operator, reread))
 }
 
-async fn run(config: Config, reread: impl Fn() -> Result<Config, String>) -> Result<(), String> {
+async fn run(
+    config: Config,
+    operator: Operator,
+    reread: impl Fn() -> Result<(Config, Operator), String>,
+) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     // Not caught, it would end the process. Caught it stays until the end, also while the node drains.
@@ -60,8 +65,17 @@
     let pool = Pool::new(bounds.upstream, bounds.dial, bounds.idle);
     let upstream =
         Upstream { pool: pool.clone(), tell: tell.clone(), boot: boot.clone(), bounds: bounds.clone() };
-    let discovery = Watch::new(config.discovery, boot.clone(), bounds.clone(), tell.clone());
-    let hub = Hub::new(Clock::start(), Router::new(brain), upstream, discovery.clone(), config.known);
+    let discovery = Watch::new(config.discovery, bounds.clone(), tell.clone());
+    discovery.enable(operator.lists());
+    if let Some(known) = &config.known {
+        discovery.version(known.version());
+    }
+    let known = config.known.filter(|_| operator.lists()).map(|k| k.told());
+    let clock = Clock::start();
+    let directory = Directory::new(boot.clone(), operator.members());
+    let hub = Hub::new(clock, Router::new(brain), directory, upstream, discovery.clone(), known);
+    let mut lookups = Lookups::new(clock, tell.clone());
+    lookups.set(operator.service());
     spawn_local(hub.run(told));
     spawn_local(async move {
         loop {
@@ -69,25 +83,29 @@
             pool.sweep();
         }
     });
-    let shared = Rc::new(Shared::new(boot, bounds.clone(), tell, phases.clone()));
+    let shared = Rc::new(Shared::new(boot, bounds.clone(), tell.clone(), phases.clone()));
     spawn_local(accept(listener, shared.clone(), phases));
-    tracing::info!("{}: serving on {}", config.name, bound);
+    tracing::info!(node = %config.name, listen = %bound, "serving on {bound}");
 
     loop {
         tokio::select! {
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
             _ = hangup.recv() => match reread() {
-                Ok(config) => {
-                    tracing::info!("{}: read again, discovery {}", config.name, config.discovery);
+                Ok((config, operator)) => {
+                    tracing::info!(node = %config.name, discovery = %config.discovery, "read again");
+                    // First the settings: what a new source tells must find its place.
+                    let _ = tell.send(Message::Members(operator.members())).await;
+                    discovery.enable(operator.lists());
                     discovery.move_to(config.discovery);
+                    lookups.set(operator.service());
                 }
                 // A bad file must not take down what serves by the good one before it.
-                Err(e) => tracing::error!("kept as it was: {e}"),
+                Err(e) => tracing::error!(why = %e, "kept as it was"),
             },
         }
     }
-    tracing::info!("{}: draining", config.name);
+    tracing::info!(node = %config.name, "draining");
     let _ = phase.send(Phase::Draining);
     tokio::time::sleep(bounds.linger).await;
     let _ = phase.send(Phase::Closing);
@@ -95,6 +113,6 @@
     while shared.open() > 0 {
         tokio::time::sleep(LOOK).await;
     }
-    tracing::info!("{}: done", config.name);
+    tracing::info!(node = %config.name, "done");
     Ok(())
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,5 +1,8 @@
 //! The core: it owns the module, the requests, their attempts and all timers. Events with a time come in,
 //! commands go out; it knows no socket and no HTTP. Everything that is decided is decided by the module.
+//! `directory` is the account of membership in the module's terms.
+
+pub mod directory;
 
 use crate::interface::*;
 use crate::Brain;
--- a/src/transport/clock.rs
+++ b/src/transport/clock.rs
@@ -1,6 +1,6 @@
 //! The monotonic clock in whole microseconds, and Unix time beside it.
 
-use crate::protocol::discovery::Moment;
+use crate::routing::directory::Moment;
 use crate::routing::Micros;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -1,14 +1,13 @@
 //! The watch of discovery's list: one call after the other on one connection, each with a time limit of its
 //! own. A call that fails ends the watch; when it starts again is the module's to say.
 
-use super::messages::Message;
+use super::messages::{Message, LIST};
 use super::{Bounds, Wire};
 use crate::protocol::discovery::{read, Update};
 use crate::protocol::http::{Http, Out, Part, Side, Start};
 use crate::protocol::request;
-use crate::routing::Input;
-use crate::wire::Boot;
 use futures_util::{SinkExt, StreamExt};
+use poppykeel_membership::Told;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,18 +23,20 @@
 pub struct Watch {
     addr: Rc<Cell<SocketAddr>>,
     moved: Rc<Notify>,
-    boot: Rc<Boot>,
     bounds: Rc<Bounds>,
     tell: mpsc::Sender<Message>,
     running: Rc<Cell<bool>>,
+    /// The list is a source of this node.
+    enabled: Rc<Cell<bool>>,
     version: Rc<Cell<u64>>,
 }
 
 impl Watch {
     /// A watch that has not begun.
-    pub fn new(addr: SocketAddr, boot: Rc<Boot>, bounds: Rc<Bounds>, tell: mpsc::Sender<Message>) -> Self {
+    pub fn new(addr: SocketAddr, bounds: Rc<Bounds>, tell: mpsc::Sender<Message>) -> Self {
         let (moved, running, version) = Default::default();
-        Watch { addr: Rc::new(Cell::new(addr)), moved, boot, bounds, tell, running, version }
+        let enabled = Rc::new(Cell::new(true));
+        Watch { addr: Rc::new(Cell::new(addr)), moved, bounds, tell, running, enabled, version }
     }
 
     /// The list that the node has now.
@@ -43,9 +44,18 @@
         self.version.set(version);
     }
 
+    /// Whether the list is a source at all; it is watched from the next order on, or not asked again.
+    pub fn enable(&self, enabled: bool) {
+        if !self.enabled.replace(enabled) && enabled {
+            // What was told before is forgotten with the source: all of it is wanted again.
+            self.version.set(0);
+            self.start();
+        }
+    }
+
     /// Begins, unless it is running.
     pub fn start(&self) {
-        if !self.running.replace(true) {
+        if self.enabled.get() && !self.running.replace(true) {
             tokio::task::spawn_local(self.clone().run());
         }
     }
@@ -66,6 +76,9 @@
         let mut wire = None;
         let limit = self.bounds.watch + self.bounds.watch_slack;
         let why = loop {
+            if !self.enabled.get() {
+                return self.running.set(false);
+            }
             let call = tokio::select! {
                 biased;
                 () = self.moved.notified() => {
@@ -78,7 +91,8 @@
                 Ok(Ok(update)) => {
                     // The version is set before the next call goes out, whenever the core gets to it.
                     self.version.set(update.version());
-                    if self.tell.send(Message::List(update)).await.is_err() {
+                    let told = Message::Told { source: LIST, told: update.told() };
+                    if self.tell.send(told).await.is_err() {
                         return;
                     }
                 }
@@ -86,9 +100,9 @@
                 Err(_) => break "no answer in time".to_string(),
             }
         };
-        tracing::warn!("discovery: {why}");
+        tracing::warn!(source = LIST, why, "no list");
         self.running.set(false);
-        let _ = self.tell.send(Input::ListFailed.into()).await;
+        let _ = self.tell.send(Message::Told { source: LIST, told: Told::Failed }).await;
     }
 
     async fn call(&self, wire: &mut Option<Wire>) -> Result<Update, String> {
@@ -129,6 +143,6 @@
             *wire = Some(conn);
         }
         let value = serde_json::from_slice(&body).map_err(|e| format!("answer not in JSON ({e})"))?;
-        read(&value, &self.boot)
+        read(&value)
     }
 }
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -2,11 +2,12 @@
 
 use super::clock::Clock;
 use super::discovery::Watch;
-use super::messages::{Answer, Message, Payload, Piece};
+use super::messages::{Answer, Message, Payload, Piece, LIST};
 use super::upstream::{Job, Upstream};
 use crate::interface::RequestId;
-use crate::protocol::discovery::{Directory, Update};
+use crate::routing::directory::{Changed, Directory};
 use crate::routing::{Command, Input, Micros, Router};
+use poppykeel_membership::Told;
 use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
@@ -42,15 +43,16 @@
     pub fn new(
         clock: Clock,
         router: Router,
+        directory: Directory,
         upstream: Upstream,
         watch: Watch,
-        known: Option<Update>,
+        known: Option<Told>,
     ) -> Self {
-        let (directory, clients, attempts, offered, commands) = Default::default();
+        let (clients, attempts, offered, commands) = Default::default();
         let mut hub = Hub { clock, router, directory, upstream, watch, clients, attempts, offered, commands };
-        if let Some(update) = known {
+        if let Some(told) = known {
             let now = hub.clock.now();
-            hub.take(now, Message::List(update));
+            hub.take(now, Message::Told { source: LIST, told });
         }
         hub
     }
@@ -60,7 +62,8 @@
         let mut turn = Vec::with_capacity(TURN);
         let mut summary_at = SUMMARY;
         loop {
-            let due = self.router.due().map(|at| self.clock.instant(at));
+            let due = self.router.due().into_iter().chain(self.directory.due()).min();
+            let due = due.map(|at| self.clock.instant(at));
             let timer = async {
                 match due {
                     Some(at) => tokio::time::sleep_until(at).await,
@@ -75,13 +78,15 @@
             for message in turn.drain(..) {
                 self.take(now, message);
             }
+            if self.directory.due().is_some_and(|at| at <= now) {
+                let list = self.directory.turn(self.clock.moment());
+                self.list(now, "time", list);
+            }
             self.router.turn(now, &mut self.commands);
             self.carry_out(now);
             if now >= summary_at {
                 summary_at = now + SUMMARY;
-                let (live, open) = (self.router.live(), self.upstream.pool.open());
-                let (known, counts) = (self.router.replicas(), self.router.counts());
-                tracing::info!("{live} live, {known} replicas, {open} connections to them; {counts:?}");
+                self.sum_up();
             }
         }
     }
@@ -101,10 +106,19 @@
                 self.offered = Some((content_type, body));
                 Input::First { request, attempt }
             }
-            Message::List(update) => {
-                let (list, full) = self.directory.take(update, self.clock.moment());
-                self.watch.version(self.directory.version());
-                Input::List { list, full }
+            Message::Told { source, told } => {
+                let failed = told == Told::Failed;
+                let list = self.directory.told(source, told, self.clock.moment());
+                self.list(now, source, list);
+                // The module says when discovery is asked again; other sources see to that themselves.
+                if !(failed && source == LIST) {
+                    return;
+                }
+                Input::ListFailed
+            }
+            Message::Members(members) => {
+                let list = self.directory.set(members, self.clock.moment());
+                return self.list(now, "settings", list);
             }
         };
         match &input {
@@ -112,15 +126,46 @@
             Input::Ended { request, attempt, .. } => drop(self.attempts.remove(&(*request, *attempt))),
             _ => {}
         }
-        tracing::debug!("told: {input:?}");
+        tracing::debug!(?input, "told");
         self.router.handle(now, input, &mut self.commands);
         self.carry_out(now);
         self.offered = None;
     }
 
+    /// Tells the core what has changed in the list, and the log why.
+    fn list(&mut self, now: Micros, source: &str, list: Vec<Changed>) {
+        if list.is_empty() {
+            return;
+        }
+        for Changed { listing, name } in &list {
+            tracing::info!(source, replica = %listing.id.0, name, state = ?listing.state, "list changed");
+        }
+        let list = list.into_iter().map(|c| c.listing).collect();
+        self.router.handle(now, Input::List { list, full: false }, &mut self.commands);
+        self.carry_out(now);
+    }
+
+    fn sum_up(&self) {
+        let c = self.router.counts();
+        tracing::info!(
+            live = self.router.live(),
+            replicas = self.router.replicas(),
+            connections = self.upstream.pool.open(),
+            arrived = c.arrived,
+            served = c.served,
+            refused = c.refused,
+            failed = c.failed,
+            broken = c.broken,
+            gone = c.gone,
+            sent = c.sent,
+            ends = ?c.ends,
+            "summary"
+        );
+    }
+
     fn carry_out(&mut self, now: Micros) {
         for command in std::mem::take(&mut self.commands) {
-            tracing::debug!("to do: {command:?}");
+            tracing::debug!(?command, "to do");
             match command {
                 Command::Send { request, attempt, replica, until } => {
                     let addr = self.directory.addr(replica);
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -1,10 +1,10 @@
 //! What drivers tell each other. Everything here is plain data; each driver uses this file and those below it.
 
-use crate::interface::Arrival;
-use crate::interface::RequestId;
-use crate::protocol::discovery::Update;
+use crate::interface::{Arrival, RequestId};
+use crate::routing::directory::Members;
 use crate::routing::{Input, Micros};
 use bytes::Bytes;
+use poppykeel_membership::Told;
 use tokio::sync::{mpsc, oneshot};
 
 /// A client's request as it goes to replicas.
@@ -56,10 +56,22 @@
         /// The stream's bytes.
         body: mpsc::Receiver<Piece>,
     },
-    /// Discovery's newest answer.
-    List(Update),
+    /// A source of servers has something to say.
+    Told {
+        /// Its name.
+        source: &'static str,
+        /// What it tells.
+        told: Told,
+    },
+    /// New settings of the account of membership.
+    Members(Members),
 }
 
+/// The name of discovery's list as a source.
+pub const LIST: &str = "list";
+/// The name of DNS as a source.
+pub const SRV: &str = "srv";
+
 impl From<Input> for Message {
     fn from(input: Input) -> Self {
         Message::Input(input)
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -8,6 +8,7 @@
 pub mod listener;
 pub mod messages;
 pub mod pool;
+pub mod srv;
 pub mod upstream;
 
 use crate::protocol::http::Http;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -1,11 +1,14 @@
 //! Recorded byte exchanges, played against the program on loopback sockets and compared. In a file, lines
-//! after a step are bytes, each with CRLF at its end unless it ends in `\`; `{*}` stands for any bytes.
+//! after a step are bytes, each with CRLF at its end unless it ends in `\`; `{*}` stands for any bytes. Where a file
+//! of the same name ends in `.toml`, it is the operators' file, with a stand-in name server at `DNS`.
 
+use poppykeel_dns_standin::{Lie, Script, Standin};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
 /// Only a hang runs into this.
@@ -14,6 +17,9 @@
 struct Node {
     child: Child,
     config: PathBuf,
+    operator: Option<PathBuf>,
+    dns: Standin,
+    lines: Receiver<String>,
     addr: String,
     listeners: HashMap<&'static str, TcpListener>,
     open: HashMap<String, TcpStream>,
@@ -21,26 +27,49 @@
 }
 
 impl Node {
-    fn start(name: &str) -> Node {
-        let listeners =
-            ["replica", "discovery", "moved"].map(|n| (n, TcpListener::bind("127.0.0.1:0").unwrap()));
+    fn start(name: &str, operator: Option<&str>) -> Node {
+        let listeners = ["replica", "discovery", "moved", "spare"]
+            .map(|n| (n, TcpListener::bind("127.0.0.1:0").unwrap()));
+        let dns = Standin::start("127.0.0.1:0".parse().unwrap(), Script::default()).unwrap();
         let addr = |n: usize| listeners[n].1.local_addr().unwrap().to_string();
         let config = include_str!("exchanges/config.json").replace("REPLICA", &addr(0));
         let path = std::env::temp_dir().join(format!("exchange-{name}-{}.json", std::process::id()));
         std::fs::write(&path, config.replace("DISCOVERY", &addr(1))).unwrap();
+        let operator = operator.map(|text| {
+            let path = path.with_extension("toml");
+            std::fs::write(&path, text.replace("DNS", &dns.addr().to_string())).unwrap();
+            path
+        });
         let mut child = Command::new(env!("CARGO_BIN_EXE_poppykeel"))
             .args(["serve", "--config"])
             .arg(&path)
+            .args(operator.iter().flat_map(|o| ["--operator".as_ref(), o.as_os_str()]))
             .env("GW_DISCOVERY", addr(1))
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
         let line = log.find(|l| l.contains("serving on")).expect("the node serves");
-        std::thread::spawn(move || log.for_each(|line| println!("{line}")));
-        let addr = line.rsplit(' ').next().unwrap().to_string();
+        let (tell, lines) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            log.for_each(|line| {
+                println!("{line}");
+                let _ = tell.send(line);
+            })
+        });
+        let addr = line.split("serving on ").nth(1).and_then(|l| l.split(' ').next()).unwrap().to_string();
         let (open, read) = Default::default();
-        Node { child, config: path, addr, listeners: HashMap::from(listeners), open, read }
+        Node {
+            child,
+            config: path,
+            operator,
+            dns,
+            lines,
+            addr,
+            listeners: HashMap::from(listeners),
+            open,
+            read,
+        }
     }
 
     fn party(&mut self, name: &str) -> TcpStream {
@@ -99,6 +128,20 @@
                 std::fs::write(&self.config, text.replace("DISCOVERY", &addr("moved"))).unwrap();
                 self.signal("-HUP");
             }
+            "forgets its operators" => {
+                std::fs::write(self.operator.as_ref().unwrap(), "").unwrap();
+                self.signal("-HUP");
+            }
+            "is silent" => self.dns.set(Script::default().lying(Lie::Silent)),
+            _ if what.starts_with("logs ") => {
+                let has = |line: &String| what["logs ".len()..].split("{*}").all(|part| line.contains(part));
+                while !has(&self.lines.recv_timeout(PATIENCE).expect(what)) {}
+            }
+            _ if what.starts_with("lists ") => {
+                let named = what["lists ".len()..].split(' ').filter_map(|n| self.listeners.get(n));
+                let addrs: Vec<_> = named.map(|l| l.local_addr().unwrap()).collect();
+                self.dns.set(Script::service("_llm._tcp.example.test", 0, &addrs));
+            }
             "exits with 0" => assert!(self.child.wait().unwrap().success()),
             _ => panic!("no step '{step}'"),
         }
@@ -110,6 +153,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        self.operator.iter().for_each(|o| drop(std::fs::remove_file(o)));
     }
 }
 
@@ -139,8 +183,8 @@
 }
 
 /// Plays one file. A line `@party does` begins a step; `#` begins a comment.
-fn play(name: &str, text: &str) {
-    let mut node = Node::start(name);
+fn play(name: &str, text: &str, operator: Option<&str>) {
+    let mut node = Node::start(name, operator);
     for step in text
         .strip_suffix('\n')
         .unwrap_or(text)
@@ -151,7 +195,8 @@
         let (step, lines) = step.split_once('\n').unwrap_or((step, ""));
         let lines: Vec<&str> = lines.split('\n').filter(|l| !l.starts_with('#')).collect();
         let bytes = lines.iter().map(|l| l.strip_suffix('\\').map_or(format!("{l}\r\n"), String::from));
-        node.play(step.trim(), &bytes.collect::<String>());
+        let replica = node.listeners["replica"].local_addr().unwrap().to_string();
+        node.play(step.trim(), &bytes.collect::<String>().replace("REPLICA", &replica));
     }
 }
 
@@ -159,9 +204,20 @@
     ($($name:ident)*) => {$(
         #[test]
         fn $name() {
-            play(stringify!($name), include_str!(concat!("exchanges/", stringify!($name), ".txt")));
+            play(stringify!($name), include_str!(concat!("exchanges/", stringify!($name), ".txt")), None);
+        }
+    )*};
+}
+
+macro_rules! exchanges_with_operators {
+    ($($name:ident)*) => {$(
+        #[test]
+        fn $name() {
+            let operator = include_str!(concat!("exchanges/", stringify!($name), ".toml"));
+            play(stringify!($name), include_str!(concat!("exchanges/", stringify!($name), ".txt")), Some(operator));
         }
     )*};
 }
 
 exchanges! { served broken declined rejected gone chunked_request duplicate drained stopped pipelined reloaded spoilt at_fault }
+exchanges_with_operators! { srv srv_alone }
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -2,10 +2,12 @@
 
 use bytes::BytesMut;
 use poppykeel::interface::Outcome;
+use poppykeel::program::config::operator::Operator;
 use poppykeel::program::config::Config;
 use poppykeel::protocol::answer::{Answer, Step};
-use poppykeel::protocol::discovery::{identity, read, Directory, Moment};
+use poppykeel::protocol::discovery::read;
 use poppykeel::protocol::http::{Fault, Http, Part, Side};
+use poppykeel::routing::directory::{identity, Directory, Moment};
 use poppykeel::wire::Boot;
 use serde_json::json;
 use std::rc::Rc;
@@ -52,17 +54,17 @@
     let list = |addr: &str, state: &str| {
         let server = json!({"id":"s-1","addr":addr,"zone":"a","kind":"k","cell":0,"state":state,
             "weight":1.0,"started_ms":1_000_000});
-        read(&json!({"version":42,"full":false,"servers":[server]}), &boot).unwrap()
+        read(&json!({"version":42,"full":false,"servers":[server]})).unwrap().told()
     };
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(Rc::new(boot), Operator::default().members());
     let (now, unix) = (50_000_000, 1_030_000_000);
-    let (first, _) = directory.take(list("127.0.0.1:1", "up"), Moment { now, unix });
-    let (next, _) = directory.take(list("127.0.0.1:2", "draining"), Moment { now, unix: unix + 77 });
-    assert_eq!((first[0].id, first[0].born), (identity("s-1"), Some(20.0)));
-    assert_eq!((next[0].id, next[0].born), (first[0].id, first[0].born));
-    assert_eq!(directory.addr(first[0].id).unwrap().port(), 2);
-    directory.take(list("127.0.0.1:2", "removed"), Moment { now, unix });
-    assert_eq!(directory.addr(first[0].id), None);
+    let first = directory.told("list", list("127.0.0.1:1", "up"), Moment { now, unix });
+    let next = directory.told("list", list("127.0.0.1:2", "draining"), Moment { now, unix: unix + 77 });
+    assert_eq!((first[0].listing.id, first[0].listing.born), (identity("s-1"), Some(20.0)));
+    assert_eq!((next[0].listing.id, next[0].listing.born), (first[0].listing.id, first[0].listing.born));
+    assert_eq!(directory.addr(first[0].listing.id).unwrap().port(), 2);
+    directory.told("list", list("127.0.0.1:2", "removed"), Moment { now, unix });
+    assert_eq!(directory.addr(first[0].listing.id), None);
 }
 
 #[test]
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -1,7 +1,7 @@
 //! The core with fed time: events in, commands out, no socket.
 
 use poppykeel::interface::*;
-use poppykeel::protocol::discovery::identity;
+use poppykeel::routing::directory::identity;
 use poppykeel::routing::{Command, Input, Micros, Router};
 use poppykeel::wire::Boot;
 use poppykeel::Brain;
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -2,8 +2,8 @@
 
 use futures_util::{SinkExt, StreamExt};
 use poppykeel::program::config::Config;
-use poppykeel::protocol::discovery::identity;
 use poppykeel::protocol::http::{Out, Part};
+use poppykeel::routing::directory::identity;
 use poppykeel::transport::client::{Client, Shared};
 use poppykeel::transport::messages::Phase;
 use poppykeel::transport::pool::Pool;
