Split what the crates are told from what they do; log requests and commands as fields

The roots of the new crates and the command line imported modules that imported them back, and the debug log wrote whole structures as text. Settings and told things have files below their users; each line of the log carries request, attempt, replica, source and version as fields.

--- a/crates/dns/src/cache.rs
+++ b/crates/dns/src/cache.rs
@@ -3,30 +3,13 @@
 //! RFC 2308 for negative answers, RFC 8767 for stale ones: what has expired is kept and used while it cannot be
 //! asked anew. There is no limit on that, because a failed look-up must never take a server away.
 
+use crate::config::{Family, Lifetimes, Micros};
 use crate::message::{code, Answer, Data, Question};
-use crate::Micros;
 use std::collections::BTreeMap;
 
 /// Aliases followed from one name to another.
 pub(crate) const MOST_ALIASES: usize = 8;
 
-/// Bounds of lifetimes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Lifetimes {
-    /// No record counts as shorter-lived, so that a lifetime of 0 does not ask without a pause.
-    pub floor: Micros,
-    /// None as longer-lived.
-    pub ceiling: Micros,
-    /// That nothing is listed is believed for no longer (RFC 2308, section 5).
-    pub negative: Micros,
-}
-
-impl Default for Lifetimes {
-    fn default() -> Self {
-        Lifetimes { floor: 1_000_000, ceiling: 300_000_000, negative: 30_000_000 }
-    }
-}
-
 impl Lifetimes {
     /// A lifetime in seconds, within the bounds, in microseconds.
     fn of(&self, ttl: u32) -> Micros {
@@ -102,13 +85,13 @@
         let mut sets: BTreeMap<Question, (Vec<Data>, u32)> = BTreeMap::new();
         for target in records {
             let Data::Srv { target, .. } = target else { continue };
-            for family in [crate::Family::V4, crate::Family::V6] {
+            for family in [Family::V4, Family::V6] {
                 sets.insert(Question::Addr(target.clone(), family), (Vec::new(), u32::MAX));
             }
         }
         for record in &answer.additionals {
             let Data::Addr(addr) = record.data else { continue };
-            let family = if addr.is_ipv4() { crate::Family::V4 } else { crate::Family::V6 };
+            let family = if addr.is_ipv4() { Family::V4 } else { Family::V6 };
             if let Some(set) = sets.get_mut(&Question::Addr(record.owner.clone(), family)) {
                 set.0.push(record.data.clone());
                 set.1 = set.1.min(record.ttl);
--- a/crates/dns/src/driver.rs
+++ b/crates/dns/src/driver.rs
@@ -1,7 +1,9 @@
 //! The thin layer between a resolver and tokio's sockets: each question over UDP has a socket and so a random
 //! port of its own, each connection a task. All of them report over one bounded channel.
 
-use crate::{Asked, Config, Event, Key, Micros, Resolver};
+use crate::config::{Config, Micros};
+use crate::exchange::{Asked, Key};
+use crate::resolver::{Event, Resolver};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::time::Duration;
--- a/crates/dns/src/exchange.rs
+++ b/crates/dns/src/exchange.rs
@@ -5,8 +5,8 @@
 //! What does not fit is passed over and counted; the right answer may still come. A truncated answer is asked for
 //! again from the same server over TCP (RFC 7766), where a second truncation is a failure.
 
+use crate::config::{Config, Micros};
 use crate::message::{self, code, Answer, Question};
-use crate::{Config, Micros};
 use rand::RngExt as Rng;
 use std::net::SocketAddr;
 
--- a/crates/dns/src/lookup.rs
+++ b/crates/dns/src/lookup.rs
@@ -1,8 +1,8 @@
 //! From the service's name to addresses, by what is in the cache: what must still be asked, or what was found.
 
 use crate::cache::{Cache, Kept, Meaning, MOST_ALIASES};
+use crate::config::{Config, Micros};
 use crate::message::{Data, Question};
-use crate::{Config, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 
--- a/crates/dns/src/message.rs
+++ b/crates/dns/src/message.rs
@@ -1,7 +1,7 @@
 //! DNS messages (RFC 1035) to and from the few kinds of record that are used here. The coding itself is
 //! hickory-proto's.
 
-use crate::Family;
+use crate::config::Family;
 use hickory_proto::op::{Edns, Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::{DNSClass, Name, RData, RecordType};
 use std::net::IpAddr;
@@ -19,18 +19,6 @@
     Addr(String, Family),
 }
 
-impl PartialOrd for Family {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Family {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (*self as u8).cmp(&(*other as u8))
-    }
-}
-
 impl Question {
     /// The name asked for.
     pub fn name(&self) -> &str {
--- a/crates/dns/src/resolver.rs
+++ b/crates/dns/src/resolver.rs
@@ -1,10 +1,10 @@
 //! Keeps one service's list fresh: passes over what has expired, and tries again after failures.
 
 use crate::cache::Cache;
+use crate::config::{Config, Micros};
 use crate::exchange::{jitter, Asked, Counts, Ends, Exchange, Key, Means};
 use crate::lookup::{survey, Found, Survey};
-use crate::message::{normal, Question};
-use crate::{Config, Micros};
+use crate::message::{name, normal, Question};
 use rand::rngs::StdRng;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -29,6 +29,31 @@
     },
 }
 
+impl Config {
+    /// Checks what the types leave open; an error says what would be right.
+    pub fn check(&self) -> Result<(), String> {
+        name(&self.name).map_err(|e| format!("name: expected a domain name ({e})"))?;
+        let bad = |what: &str| Err(what.to_string());
+        match () {
+            () if self.servers.is_empty() => bad("servers: expected at least one ADDRESS:PORT"),
+            () if self.families.is_empty() => bad("families: expected ipv4, ipv6 or both"),
+            () if self.timeout == 0 => bad("timeout: expected a time above 0"),
+            () if self.rounds == 0 => bad("rounds: expected at least 1"),
+            () if self.payload < 512 => bad("payload: expected at least 512 bytes"),
+            () if self.lifetimes.floor > self.lifetimes.ceiling => {
+                bad("ttl_floor: expected at most ttl_ceiling")
+            }
+            () if self.retry == 0 || self.retry > self.retry_most => {
+                bad("retry: expected a time above 0 and at most retry_most")
+            }
+            () if self.most_questions == 0 || self.most_targets == 0 => {
+                bad("most_questions, most_targets: expected at least 1")
+            }
+            () => Ok(()),
+        }
+    }
+}
+
 /// The resolver of one service.
 pub struct Resolver {
     config: Config,
--- a/crates/membership/src/book.rs
+++ b/crates/membership/src/book.rs
@@ -1,7 +1,9 @@
 //! What one source has told so far and how far it is believed: sudden losses are held, returns of flapping
 //! records are delayed, and what was taken away is remembered.
 
-use crate::{Absence, Entry, Kind, Micros, Opinion, SourceSettings, State, Told};
+use crate::opinion::Opinion;
+use crate::settings::{Absence, Kind, SourceSettings};
+use crate::told::{Entry, Micros, State, Told};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/membership/src/merge.rs
+++ b/crates/membership/src/merge.rs
@@ -1,7 +1,9 @@
 //! The one list: every source's opinion of every server, folded by the table.
 
 use crate::book::{Book, Detail, Held, Known};
-use crate::{standing, wins, Entry, Kind, Micros, Opinion, Settings, Standing, Told};
+use crate::opinion::{standing, wins, Opinion, Standing};
+use crate::settings::{Kind, Settings};
+use crate::told::{Entry, Micros, Told};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -12,6 +12,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
+impl std::fmt::Display for RequestId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// A replica: one language-model server, named by its address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReplicaId(pub SocketAddr);
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -1,15 +1,15 @@
 //! The command line.
 
 pub mod config;
+mod files;
 mod log;
 mod resolve;
 pub mod serve;
 
 use clap::{Args, Parser, Subcommand};
-use config::operator::Operator;
-use config::Config;
+use files::{OperatorFile, Over};
 use log::Format;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 #[derive(Parser)]
@@ -65,52 +65,6 @@
     over: Over,
 }
 
-#[derive(Args)]
-struct OperatorFile {
-    /// The operators' file, as TOML; see deploy/operator.toml
-    #[arg(long, env = "POPPYKEEL_OPERATOR", value_name = "FILE")]
-    operator: Option<PathBuf>,
-}
-
-#[derive(Args)]
-struct Over {
-    /// This node's name, in place of the configuration's
-    #[arg(long, env = "GW_NAME")]
-    name: Option<String>,
-    /// Where clients connect, in place of the configuration's
-    #[arg(long, env = "GW_LISTEN", value_name = "ADDRESS")]
-    listen: Option<String>,
-    /// Where discovery listens, in place of the configuration's
-    #[arg(long, env = "GW_DISCOVERY", value_name = "ADDRESS")]
-    discovery: Option<String>,
-}
-
-fn text(what: &str, path: &Path) -> Result<String, String> {
-    std::fs::read_to_string(path).map_err(|e| format!("{what} {}: {e}", path.display()))
-}
-
-impl Over {
-    fn read(&self, path: &Path) -> Result<Config, String> {
-        let over = [("name", &self.name), ("listen", &self.listen), ("discovery", &self.discovery)];
-        Config::read(&text("config", path)?, &over.map(|(key, value)| (key, value.as_deref())))
-    }
-
-    /// Reads the file again, at SIGHUP. The environment is that of the start and says what discovery was then:
-    /// it must not hide what the replaced file says now.
-    fn reread(&self, path: &Path) -> Result<Config, String> {
-        let over = [("name", &self.name), ("listen", &self.listen)];
-        Config::read(&text("config", path)?, &over.map(|(key, value)| (key, value.as_deref())))
-    }
-}
-
-impl OperatorFile {
-    /// What the file says; without one, nothing.
-    fn read(&self) -> Result<Operator, String> {
-        let Some(path) = &self.operator else { return Ok(Operator::default()) };
-        Operator::read(&text("operator", path)?).map_err(|e| format!("operator {}: {e}", path.display()))
-    }
-}
-
 impl Serve {
     fn run(&self) -> Result<(), String> {
         let path = &self.source.config;
--- a/src/program/resolve.rs
+++ b/src/program/resolve.rs
@@ -3,7 +3,7 @@
 
 use super::config::operator::Operator;
 use super::config::Config;
-use super::{OperatorFile, Over};
+use super::files::{OperatorFile, Over};
 use crate::transport::clock::Clock;
 use crate::transport::discovery::Watch;
 use crate::transport::messages::{Message, LIST, SRV};
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -89,6 +89,7 @@
             };
             match call {
                 Ok(Ok(update)) => {
+                    tracing::debug!(source = LIST, version = update.version(), "told");
                     // The version is set before the next call goes out, whenever the core gets to it.
                     self.version.set(update.version());
                     let told = Message::Told { source: LIST, told: update.told() };
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -126,7 +126,7 @@
             Input::Ended { request, attempt, .. } => drop(self.attempts.remove(&(*request, *attempt))),
             _ => {}
         }
-        tracing::debug!(?input, "told");
+        log_input(&input);
         self.router.handle(now, input, &mut self.commands);
         self.carry_out(now);
         self.offered = None;
@@ -165,7 +165,7 @@
 
     fn carry_out(&mut self, now: Micros) {
         for command in std::mem::take(&mut self.commands) {
-            tracing::debug!(?command, "to do");
+            log_command(&command);
             match command {
                 Command::Send { request, attempt, replica, until } => {
                     let addr = self.directory.addr(replica);
@@ -221,3 +221,39 @@
         }
     }
 }
+
+fn log_input(input: &Input) {
+    match input {
+        Input::Arrived(a) => {
+            tracing::debug!(request = %a.id, class = a.class, tenant = a.tenant, "arrived");
+        }
+        Input::ClientGone(id) => tracing::debug!(request = %id, "client gone"),
+        Input::First { request, attempt } => tracing::debug!(%request, attempt, "first event"),
+        Input::Ended { request, attempt, outcome, report } => {
+            tracing::debug!(%request, attempt, ?outcome, ?report, "ended");
+        }
+        Input::Probed { replica, outcome, report } => {
+            tracing::debug!(replica = %replica.0, ?outcome, ?report, "probed");
+        }
+        Input::List { list, full } => tracing::debug!(entries = list.len(), full, "list"),
+        Input::ListFailed => tracing::debug!("list failed"),
+    }
+}
+
+fn log_command(command: &Command) {
+    match command {
+        Command::Send { request, attempt, replica, until } => {
+            tracing::debug!(%request, attempt, replica = %replica.0, until, "send");
+        }
+        Command::Abandon { request, attempt } => {
+            tracing::debug!(%request, attempt, "abandon");
+        }
+        Command::Bind { request, attempt } => tracing::debug!(%request, attempt, "bind"),
+        Command::Refuse { request, retry_after } => {
+            tracing::debug!(%request, retry_after, "refuse");
+        }
+        Command::Fail { request } => tracing::debug!(%request, "fail"),
+        Command::Probe { replica } => tracing::debug!(replica = %replica.0, "probe"),
+        Command::Watch => tracing::debug!("watch"),
+    }
+}
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -29,7 +29,7 @@
             Ok((socket, _)) => admit(socket, &shared, &turned_away),
             Err(e) => {
                 // Out of descriptors, say: room is made and the next try waits a moment.
-                tracing::warn!("accept: {e}");
+                tracing::warn!(why = %e, "accept failed");
                 shared.evict();
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -105,7 +105,8 @@
                 Some(Ok(part)) => {
                     if let Part::Head(head) = &part {
                         keep = head.keep;
-                        tracing::debug!("{:?} from {} for {:?}", head.start, job.peer.1, job.request);
+                        let (request, attempt, from) = (job.request, job.attempt, job.peer.1);
+                        tracing::debug!(%request, attempt, %from, start = ?head.start, "answer begins");
                     }
                     answer.feed(part, &mut steps);
                 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -220,4 +220,4 @@
 }
 
 exchanges! { served broken declined rejected gone chunked_request duplicate drained stopped pipelined reloaded spoilt at_fault }
-exchanges_with_operators! { srv srv_alone }
+exchanges_with_operators! { srv srv_alone srv_moves }
