--- a/crates/dns/src/cache.rs
+++ b/crates/dns/src/cache.rs
@@ -5,7 +5,7 @@
 
 use crate::config::{Family, Lifetimes, Micros};
 use crate::message::{code, Answer, Data, Question};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Aliases followed from one name to another.
 pub(crate) const MOST_ALIASES: usize = 8;
@@ -55,8 +55,11 @@
     }
 
     /// Drops everything that is not among these questions.
-    pub(crate) fn retain(&mut self, used: &std::collections::BTreeSet<Question>) {
-        self.kept.retain(|q, _| used.contains(q));
+    pub(crate) fn retain(&mut self, used: &[Question]) {
+        if self.kept.len() > used.len() {
+            let used: BTreeSet<&Question> = used.iter().collect();
+            self.kept.retain(|q, _| used.contains(q));
+        }
     }
 
     /// Takes an answer; an error says why it is none.
@@ -82,6 +85,9 @@
     /// Addresses in the additional section are taken where they are those of a target in this very answer, and
     /// where nothing fresh is known that was asked for (RFC 2181, section 5.4.1).
     fn additional(&mut self, now: Micros, answer: &Answer, records: &[Data], lifetimes: &Lifetimes) {
+        if !answer.additionals.iter().any(|r| matches!(r.data, Data::Addr(_))) {
+            return;
+        }
         let mut sets: BTreeMap<Question, (Vec<Data>, u32)> = BTreeMap::new();
         for target in records {
             let Data::Srv { target, .. } = target else { continue };
--- a/crates/dns/src/lookup.rs
+++ b/crates/dns/src/lookup.rs
@@ -3,7 +3,7 @@
 use crate::cache::{Cache, Kept, Meaning, MOST_ALIASES};
 use crate::config::{Config, Micros};
 use crate::message::{Data, Question};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
 /// One address of one target.
@@ -44,7 +44,7 @@
     /// These must be asked.
     Needs(Vec<Question>),
     /// The pass is complete.
-    Complete(Found, BTreeSet<Question>),
+    Complete(Found, Vec<Question>),
     /// The service itself could not be looked up.
     Failed(String),
 }
@@ -61,7 +61,7 @@
     now: Micros,
     /// What could not be asked in this pass.
     failed: &'a BTreeMap<Question, String>,
-    used: BTreeSet<Question>,
+    used: Vec<Question>,
 }
 
 impl<'a> Walk<'a> {
@@ -70,7 +70,7 @@
         let (mut question, mut until, mut stale) = (question, Micros::MAX, false);
         let mut seen = Vec::new();
         loop {
-            self.used.insert(question.clone());
+            self.used.push(question.clone());
             let fresh = self.cache.fresh(&question, self.now);
             let kept = match (fresh, self.failed.get(&question), self.cache.get(&question)) {
                 (Some(kept), _, _) => kept,
@@ -102,7 +102,7 @@
     now: Micros,
     failed: &BTreeMap<Question, String>,
 ) -> Survey {
-    let mut walk = Walk { cache, now, failed, used: BTreeSet::new() };
+    let mut walk = Walk { cache, now, failed, used: Vec::new() };
     let (kept, until, old) = match walk.follow(service.clone()) {
         Way::Kept(kept, until, stale) => (kept, until, stale),
         Way::Ask(question) => return Survey::Needs(vec![question]),
--- a/crates/membership/src/book.rs
+++ b/crates/membership/src/book.rs
@@ -4,7 +4,7 @@
 use crate::opinion::Opinion;
 use crate::settings::{Absence, Kind, SourceSettings};
 use crate::told::{Entry, Micros, State, Told};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -48,6 +48,16 @@
     /// Believed losses of the last hold time.
     losses: VecDeque<(Micros, usize)>,
     flaps: BTreeMap<SocketAddr, Flap>,
+    /// Where something has changed that an opinion may rest on since it was asked last ...
+    dirty: BTreeSet<SocketAddr>,
+    /// ... or that it has everywhere.
+    all_dirty: bool,
+}
+
+/// What of a book has changed.
+pub(crate) enum Dirty {
+    All,
+    At(BTreeSet<SocketAddr>),
 }
 
 /// An opinion, since when, and what it rests on.
@@ -71,10 +81,36 @@
     pub(crate) fn new(settings: SourceSettings) -> Self {
         let (answered, failing, live, at) = Default::default();
         let (gone_addrs, gone_names, losses, flaps) = Default::default();
-        Book { settings, answered, failing, live, at, gone_addrs, gone_names, losses, flaps }
+        let (dirty, all_dirty) = (BTreeSet::new(), true);
+        Book {
+            settings,
+            answered,
+            failing,
+            live,
+            at,
+            gone_addrs,
+            gone_names,
+            losses,
+            flaps,
+            dirty,
+            all_dirty,
+        }
+    }
+
+    /// What has changed since this was asked last.
+    pub(crate) fn dirty(&mut self) -> Dirty {
+        match std::mem::take(&mut self.all_dirty) {
+            true => {
+                self.dirty.clear();
+                Dirty::All
+            }
+            false => Dirty::At(std::mem::take(&mut self.dirty)),
+        }
     }
 
+    /// Takes what the source tells.
     pub(crate) fn told(&mut self, now: Micros, told: Told) {
+        self.all_dirty |= self.failing.is_some() != (told == Told::Failed) || !self.answered;
         match told {
             Told::Failed => {
                 self.failing.get_or_insert(now);
@@ -99,22 +135,33 @@
     }
 
     fn whole(&mut self, now: Micros, entries: Vec<Entry>) {
-        let listed: BTreeSet<Place> = entries.iter().map(|e| self.place(e)).collect();
+        let by_addr = self.settings.kind == Kind::Addressing;
+        let listed: HashSet<(&str, Option<SocketAddr>)> =
+            entries.iter().map(|e| (e.name.as_str(), by_addr.then_some(e.addr))).collect();
         let alive = |k: &Known| k.entry.state == State::Up;
         let up = self.live.values().filter(|k| alive(k)).count();
-        let (lost, drained): (Vec<Place>, Vec<Place>) =
-            self.live.keys().filter(|p| !listed.contains(*p)).cloned().partition(|p| alive(&self.live[p]));
-        let addrs: BTreeSet<SocketAddr> = entries.iter().map(|e| e.addr).collect();
+        let (lost, drained): (Vec<Place>, Vec<Place>) = self
+            .live
+            .keys()
+            .filter(|p| !listed.contains(&(p.0.as_str(), p.1)))
+            .cloned()
+            .partition(|p| alive(&self.live[p]));
+        let nothing = listed.is_empty();
+        let addrs: HashSet<SocketAddr> = match lost.is_empty() {
+            true => HashSet::new(),
+            false => entries.iter().map(|e| e.addr).collect(),
+        };
         let renamed = |p: &Place| p.1.is_some_and(|addr| addrs.contains(&addr));
         let (renamed, lost): (Vec<Place>, Vec<Place>) = lost.into_iter().partition(renamed);
         // Neither the end of a drain nor another name for an address is a surprise.
         drained.iter().chain(&renamed).for_each(|p| self.withdraw(now, p));
-        let sudden = !lost.is_empty() && self.sudden(now, lost.len(), up - renamed.len(), listed.is_empty());
+        let sudden = !lost.is_empty() && self.sudden(now, lost.len(), up - renamed.len(), nothing);
         if sudden {
             for place in lost {
                 let Some(known) = self.live.get_mut(&place) else { continue };
                 let (since, count) = known.missing.unwrap_or((now, 0));
                 known.missing = Some((since, count + 1));
+                self.dirty.insert(known.entry.addr);
             }
             self.believe(now);
         } else if !lost.is_empty() {
@@ -138,7 +185,10 @@
 
     fn confirm(&mut self, now: Micros) {
         for known in self.live.values_mut() {
-            known.missing = known.missing.map(|(since, count)| (since, count + 1));
+            if let Some((since, count)) = known.missing {
+                known.missing = Some((since, count + 1));
+                self.dirty.insert(known.entry.addr);
+            }
         }
         self.believe(now);
     }
@@ -159,6 +209,7 @@
     fn take_away(&mut self, now: Micros, place: &Place, mark: bool) {
         let Some(known) = self.live.remove(place) else { return };
         let addr = known.entry.addr;
+        self.dirty.insert(addr);
         if self.leave(place, addr) && mark {
             self.gone_addrs.insert(addr, now);
         }
@@ -180,6 +231,10 @@
 
     fn entry(&mut self, now: Micros, entry: Entry) {
         let place = self.place(&entry);
+        if self.live.get(&place).is_some_and(|k| k.missing.is_none() && *k.entry == entry) {
+            return;
+        }
+        self.dirty.insert(entry.addr);
         if entry.state == State::Removed {
             if self.live.contains_key(&place) {
                 return self.take_away(now, &place, true);
@@ -203,6 +258,7 @@
         let since = same.map_or(now, |k| k.since);
         if let Some(old) = before.as_ref().map(|k| k.entry.addr).filter(|old| *old != addr) {
             // It has moved: nobody is known to be at the old address now.
+            self.dirty.insert(old);
             if self.leave(&place, old) {
                 self.gone_addrs.insert(old, now);
             }
@@ -262,10 +318,6 @@
         self.live.get(&(name.to_string(), None))
     }
 
-    pub(crate) fn live(&self) -> impl Iterator<Item = &Known> {
-        self.live.values()
-    }
-
     /// What is listed at an address, by name.
     pub(crate) fn at(&self, addr: SocketAddr) -> impl Iterator<Item = &Known> {
         self.at.get(&addr).into_iter().flatten().filter_map(|p| self.live.get(p))
--- a/crates/membership/src/merge.rs
+++ b/crates/membership/src/merge.rs
@@ -1,6 +1,6 @@
 //! The one list: every source's opinion of every server, folded by the table.
 
-use crate::book::{Book, Detail, Held, Known};
+use crate::book::{Book, Detail, Dirty, Held, Known};
 use crate::opinion::{standing, wins, Opinion, Standing};
 use crate::settings::{Kind, Settings};
 use crate::told::{Entry, Micros, Told};
@@ -49,6 +49,9 @@
     seen: Micros,
 }
 
+/// Addresses kept out, and until when.
+type Calmed = BTreeMap<SocketAddr, Micros>;
+
 /// The account.
 #[derive(Debug)]
 pub struct Membership {
@@ -57,6 +60,8 @@
     unnamed: BTreeMap<SocketAddr, Unnamed>,
     servers: BTreeMap<String, Server>,
     left: BTreeMap<String, (Micros, Server)>,
+    /// What flapping keeps out now, for each source.
+    calmed: Vec<Calmed>,
     forgot: Micros,
     now: Micros,
 }
@@ -65,8 +70,8 @@
     /// An account that has been told nothing yet.
     pub fn new(settings: Settings) -> Self {
         let books = settings.sources.iter().cloned().map(Book::new).collect();
-        let (unnamed, servers, left) = Default::default();
-        Membership { settings, books, unnamed, servers, left, forgot: 0, now: 0 }
+        let (unnamed, servers, left, calmed) = Default::default();
+        Membership { settings, books, unnamed, servers, left, calmed, forgot: 0, now: 0 }
     }
 
     /// The settings in force.
@@ -87,6 +92,7 @@
             self.books.push(book);
         }
         self.settings = settings;
+        self.calmed.clear();
         self.turn(now)
     }
 
@@ -109,15 +115,29 @@
     pub fn turn(&mut self, now: Micros) -> Vec<Server> {
         let now = self.at(now);
         self.forget(now);
-        let next = self.merge(now);
+        let calmed: Vec<Calmed> = self.books.iter().map(|b| b.calmed(now)).collect();
+        let only = self.dirty(&calmed);
+        self.calmed = calmed;
+        if only.as_ref().is_some_and(BTreeSet::is_empty) {
+            return Vec::new();
+        }
+        let next = self.merge(now, only.as_ref());
+        let before = match &only {
+            Some(addrs) => {
+                let there = self.servers.iter().filter(|(_, s)| addrs.contains(&s.entry.addr));
+                let names: Vec<String> = there.map(|(n, _)| n.clone()).collect();
+                names.into_iter().filter_map(|n| self.servers.remove(&n).map(|s| (n, s))).collect()
+            }
+            None => std::mem::take(&mut self.servers),
+        };
         let mut changes: Vec<Server> = Vec::new();
         for (name, server) in &next {
             let left = self.left.remove(name).map(|l| l.1);
-            if self.servers.get(name).or(left.as_ref()).is_none_or(|old| differs(old, server)) {
+            if before.get(name).or(left.as_ref()).is_none_or(|old| differs(old, server)) {
                 changes.push(server.clone());
             }
         }
-        let before = std::mem::replace(&mut self.servers, next);
+        self.servers.extend(next);
         for (name, mut server) in before {
             if !self.servers.contains_key(&name) {
                 let was = std::mem::replace(&mut server.standing, Standing::Out);
@@ -130,6 +150,27 @@
         changes
     }
 
+    /// Where servers must be looked at anew; none means everywhere. A name in several sources may stand at other
+    /// addresses than those that changed, and who stands by hangs on all: then it is everywhere, too.
+    fn dirty(&mut self, calmed: &[Calmed]) -> Option<BTreeSet<SocketAddr>> {
+        let naming = self.books.iter().filter(|b| b.settings.kind == Kind::Naming).count();
+        let mut all = calmed.len() != self.calmed.len();
+        let mut addrs = BTreeSet::new();
+        for (now, before) in calmed.iter().zip(&self.calmed) {
+            let changed = |a: &&SocketAddr| now.get(*a) != before.get(*a);
+            addrs.extend(now.keys().chain(before.keys()).filter(changed));
+        }
+        for book in &mut self.books {
+            match book.dirty() {
+                Dirty::All => all = true,
+                Dirty::At(changed) => addrs.extend(changed),
+            }
+        }
+        let any = all || !addrs.is_empty();
+        let everywhere = all || (any && (naming > 1 || self.settings.standby));
+        (!everywhere).then_some(addrs)
+    }
+
     /// The list: every server that a source lists or has taken away, by name.
     pub fn servers(&self) -> Vec<Server> {
         // One that has left under one name and is still listed under another is shown once.
@@ -204,50 +245,64 @@
         self.unnamed.retain(|addr, u| u.seen >= now - keep || listed.contains(addr));
     }
 
-    fn merge(&mut self, now: Micros) -> BTreeMap<String, Server> {
-        let calmed: Vec<_> = self.books.iter().map(|b| b.calmed(now)).collect();
+    /// The servers at these addresses, or all.
+    fn merge(&mut self, now: Micros, only: Option<&BTreeSet<SocketAddr>>) -> BTreeMap<String, Server> {
+        let all: BTreeSet<SocketAddr>;
+        let wanted = match only {
+            Some(addrs) => addrs,
+            None => {
+                all = self.books.iter().flat_map(|b| b.addrs().copied()).collect();
+                &all
+            }
+        };
         let mut named: BTreeMap<&str, Vec<&Known>> = BTreeMap::new();
-        for book in self.books.iter().filter(|b| b.settings.kind == Kind::Naming) {
-            for known in book.live() {
+        let mut addrs: BTreeMap<SocketAddr, Vec<&Known>> = BTreeMap::new();
+        let (naming, addressing): (Vec<&Book>, Vec<&Book>) =
+            self.books.iter().partition(|b| b.settings.kind == Kind::Naming);
+        for book in &naming {
+            for known in wanted.iter().flat_map(|a| book.at(*a)) {
                 named.entry(&known.entry.name).or_default().push(known);
             }
         }
-        let taken: BTreeSet<SocketAddr> = named.values().flatten().map(|k| k.entry.addr).collect();
+        // Addresses that no name stands at: what lists them, and what has been taken away from them.
+        let free = |a: &&SocketAddr| naming.iter().all(|b| b.at(**a).next().is_none());
+        for addr in wanted.iter().filter(free) {
+            let known: Vec<&Known> = addressing.iter().flat_map(|b| b.at(*addr)).collect();
+            if !known.is_empty() {
+                addrs.insert(*addr, known);
+            }
+        }
         let mut next = BTreeMap::new();
         for (name, known) in named {
             let start = known.iter().filter_map(|k| k.started).max();
             let addr = known[0].entry.addr;
-            let opinions: Vec<Held> =
-                self.books.iter().zip(&calmed).map(|(b, c)| b.opinion(Some(name), addr, start, c)).collect();
+            let asked = self.books.iter().zip(&self.calmed);
+            let opinions: Vec<Held> = asked.map(|(b, c)| b.opinion(Some(name), addr, start, c)).collect();
             let also = self.books.iter().flat_map(|b| b.at(addr)).filter(|k| k.entry.name != name);
             let server = decide(name.to_string(), known[0].entry.clone(), also, &opinions);
             next.insert(server.name.clone(), server);
         }
-        // Addresses that no name stands at: what lists them, and what has been taken away from them.
-        let mut addrs: BTreeMap<SocketAddr, Vec<&Known>> = BTreeMap::new();
-        for book in self.books.iter().filter(|b| b.settings.kind == Kind::Addressing) {
-            for addr in book.addrs().filter(|a| !taken.contains(*a)) {
-                addrs.entry(*addr).or_default().extend(book.at(*addr));
-            }
-        }
         for (addr, known) in addrs {
-            let names: BTreeSet<String> = known.iter().map(|k| k.entry.name.clone()).collect();
-            let first = names.first().cloned().unwrap_or_default();
+            let names: BTreeSet<&str> = known.iter().map(|k| k.entry.name.as_str()).collect();
+            let first = names.first().copied().unwrap_or_default();
             let place = self.unnamed.entry(addr).or_insert_with(|| Unnamed {
-                names: names.clone(),
+                names: names.iter().map(|n| n.to_string()).collect(),
                 server: format!("{first}@{addr}"),
                 births: 1,
                 seen: now,
             });
-            if place.names.is_disjoint(&names) {
+            if names.iter().all(|n| !place.names.contains(*n)) {
                 // Other names altogether: another server at the old address, which inherits nothing.
                 place.births += 1;
                 place.server = format!("{first}@{addr}#{}", place.births);
             }
-            (place.names, place.seen) = (names, now);
+            if !names.iter().copied().eq(place.names.iter().map(String::as_str)) {
+                place.names = names.iter().map(|n| n.to_string()).collect();
+            }
+            place.seen = now;
             let (name, entry) = (place.server.clone(), known[0].entry.clone());
-            let opinions: Vec<Held> =
-                self.books.iter().zip(&calmed).map(|(b, c)| b.opinion(None, addr, None, c)).collect();
+            let asked = self.books.iter().zip(&self.calmed);
+            let opinions: Vec<Held> = asked.map(|(b, c)| b.opinion(None, addr, None, c)).collect();
             let server = decide(name, entry, known.into_iter().skip(1), &opinions);
             next.insert(server.name.clone(), server);
         }
--- a/crates/membership/tests/invariants.rs
+++ b/crates/membership/tests/invariants.rs
@@ -7,6 +7,7 @@
 //!    set have lacked.
 //! 4. One address has at most one server that takes work.
 //! 5. The changes that are told, applied one after the other, are the list.
+//! 6. Looking at everything anew finds nothing that was not told.
 
 use poppykeel_membership::*;
 use proptest::prelude::*;
@@ -146,6 +147,8 @@
         for server in changes {
             account.mirror.insert(server.name.clone(), server);
         }
+        let settings = account.members.settings().clone();
+        assert_eq!(account.members.set(account.now, settings), [], "6");
         let after = usable(&account.members.servers());
         if matches!(step, Step::Failed(_)) {
             assert_eq!(before, after, "2: a failure changed the list");
--- a/src/transport/srv.rs
+++ b/src/transport/srv.rs
@@ -4,7 +4,7 @@
 use super::messages::{Message, SRV};
 use crate::protocol::srv::Naming;
 use poppykeel_dns::{driver, Config, Event, Found};
-use poppykeel_membership::Told;
+use poppykeel_membership::{Entry, Told};
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::sync::mpsc;
@@ -63,10 +63,12 @@
     let (events, mut found) = mpsc::channel(EVENTS);
     let Service { resolver, naming } = service;
     let driver = driver::run(resolver, move || clock.now(), events);
+    // What is listed as it was is no news, but one more answer that says so.
+    let mut last: Option<Vec<Entry>> = None;
     let take = async {
         while let Some(event) = found.recv().await {
             let told = match &event {
-                Event::Listed(found) => listed(found, &naming),
+                Event::Listed(found) => news(&mut last, listed(found, &naming)),
                 Event::Failed { why, .. } => {
                     tracing::warn!(source = SRV, why = %why, "no list");
                     Told::Failed
@@ -89,7 +91,15 @@
     }
 }
 
-fn listed(found: &Found, naming: &Naming) -> Told {
+fn news(last: &mut Option<Vec<Entry>>, listed: Vec<Entry>) -> Told {
+    if last.as_ref() == Some(&listed) {
+        return Told::Changes(Vec::new());
+    }
+    *last = Some(listed.clone());
+    Told::Whole(listed)
+}
+
+fn listed(found: &Found, naming: &Naming) -> Vec<Entry> {
     if let Some(why) = &found.nothing {
         tracing::warn!(source = SRV, why = %why, "nothing listed");
     }
@@ -99,5 +109,5 @@
     if found.left_out > 0 {
         tracing::warn!(source = SRV, left_out = found.left_out, "more targets than may be");
     }
-    Told::Whole(found.endpoints.iter().map(|e| naming.entry(e)).collect())
+    found.endpoints.iter().map(|e| naming.entry(e)).collect()
 }
