Judge streams that stall or break, and continue them on another server where set

A stream was dropped after a fixed 3 s of silence, one that broke ended its client's answer, and a replica whose streams stalled kept its share, because each first token cleared its failures.

crates/streams judges without I/O: how long a silence may last (the class's token aim and the replica's own gaps, within bounds; a stream given up counts as a long gap), what has been passed, and how a broken stream ends: completed, continued within budgets, or failed by an event. transport/relay asks the module for the rest as a request of its own; off by default, so that answers pass unchanged.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -298,7 +298,7 @@
     }
 
     fn ejected(r: &Replica) -> bool {
-        r.silent_since.is_some() || r.failures >= EJECT_AFTER
+        r.silent_since.is_some() || r.failures >= EJECT_AFTER || r.broken >= EJECT_AFTER
     }
 
     fn has_room(&self, r: &Replica) -> bool {
@@ -475,6 +475,7 @@
         }
         match outcome {
             Outcome::Served => {
+                self.replicas.entry(replica).and_modify(|r| r.broken = 0);
                 self.learned.hold_time += LEARN * (self.now - sent - self.learned.hold_time);
                 self.alive(replica, true);
             }
@@ -486,11 +487,17 @@
                     (r.paused_until, r.life) = (r.paused_until.max(self.now + PAUSE), self.now);
                 }
             }
-            Outcome::TimedOut => self.pool.cut(POOL_CUT),
+            Outcome::TimedOut => {
+                self.pool.cut(POOL_CUT);
+                if streaming {
+                    self.broke(replica);
+                }
+            }
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
                 if streaming {
                     // A broken stream is a sign of load, as a time-out is.
                     self.pool.cut(POOL_CUT);
+                    self.broke(replica);
                 }
                 let Some(r) = self.replicas.get_mut(&replica) else { return };
                 r.failures += 1;
@@ -517,6 +524,16 @@
         self.forget(id);
     }
 
+    /// Departure: first tokens say nothing of how streams end. A replica whose streams stall or break in a
+    /// row is ejected until one has passed whole, whatever first tokens come from it.
+    fn broke(&mut self, replica: ReplicaId) {
+        let Some(r) = self.replicas.get_mut(&replica) else { return };
+        r.broken += 1;
+        if r.broken == EJECT_AFTER {
+            r.paused_until = self.now + PAUSE;
+        }
+    }
+
     /// Whether another attempt is in time, allowed, and by rule 2 without a second effect.
     fn may_repeat(&self, request: &Request) -> bool {
         let effect = self.settings.classes[request.arrival.class].effect;
--- a/src/program/config/mod.rs
+++ b/src/program/config/mod.rs
@@ -24,8 +24,6 @@
 const CONNECTION_BYTES: u64 = 64 * 1024;
 /// Idle connections are dropped so long before the replica closes them, or half-way where that is less.
 const IDLE_MARGIN: f64 = 1.0;
-/// A client loses a stream that stays silent for 5 s: it is ended well before.
-const SILENCE: Duration = Duration::from_millis(3000);
 const STALL: Duration = Duration::from_secs(10);
 const CLIENT_IDLE: Duration = Duration::from_secs(75);
 /// A client that never gets done is owed an error or a close within 3 s of its connecting.
@@ -100,7 +98,6 @@
             held_bytes: (memory / BODY_SHARE) as usize,
             dial: Duration::from_secs_f64(dial),
             idle: Duration::from_secs_f64((idle - IDLE_MARGIN).max(idle / 2.0)),
-            silence: SILENCE,
             stall: STALL,
             client_idle: CLIENT_IDLE,
             read: READ,
--- a/src/program/config/operator.rs
+++ b/src/program/config/operator.rs
@@ -5,8 +5,10 @@
 use crate::routing::directory::Members;
 use crate::transport::messages::{LIST, SRV};
 use crate::transport::srv::Service;
+use crate::transport::streams::{self, Continues};
 use poppykeel_dns::{Config, Family, Lifetimes};
 use poppykeel_membership::{Absence, Flaps, Guard, Kind, Micros, Settings, SourceSettings};
+use poppykeel_streams::{Budget, Limits};
 use regex_lite::Regex;
 use serde::de::{Error, Visitor};
 use serde::{Deserialize, Deserializer};
@@ -22,6 +24,27 @@
 pub struct Operator {
     /// Where servers come from; without it discovery's list alone, believed at once.
     pub membership: Option<Membership>,
+    /// How long streams may be silent, and whether they are continued.
+    pub streams: Streams,
+}
+
+/// Answers that stream.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+#[allow(missing_docs)] // each key is explained in deploy/operator.toml
+pub struct Streams {
+    pub stall_least: Span,
+    pub stall_most: Span,
+    pub stall_aims: f64,
+    pub stall_gaps: f64,
+    #[serde(rename = "continue")]
+    pub continues: bool,
+    pub tries: u32,
+    pub share: f64,
+    pub replica_share: f64,
+    pub free: u32,
+    pub window: Span,
+    pub wait: Span,
 }
 
 /// A time, in microseconds; written as seconds or as text with units, such as "250ms".
@@ -156,6 +179,25 @@
     }
 }
 
+impl Default for Streams {
+    fn default() -> Self {
+        let (limits, budget) = (Limits::default(), Budget::default());
+        Streams {
+            stall_least: Span(limits.least),
+            stall_most: Span(limits.most),
+            stall_aims: limits.aims,
+            stall_gaps: limits.gaps,
+            continues: false,
+            tries: budget.tries,
+            share: budget.share,
+            replica_share: 0.5,
+            free: budget.free,
+            window: Span(budget.window),
+            wait: Span(5_000_000),
+        }
+    }
+}
+
 impl Default for List {
     fn default() -> Self {
         List { discovery: None, absence: Absent::Removes }
@@ -266,6 +308,7 @@
 
     /// What the types leave open: the key at fault, and what would be right.
     fn check(&self) -> Result<(), (String, String)> {
+        self.check_streams()?;
         let Some(members) = &self.membership else { return Ok(()) };
         let bad = |key: &str, what: &str| Err((format!("membership.{key}"), what.to_string()));
         if members.sources.is_empty() {
@@ -306,6 +349,39 @@
         })
     }
 
+    fn check_streams(&self) -> Result<(), (String, String)> {
+        let s = &self.streams;
+        let bad = |key: &str, what: &str| Err((format!("streams.{key}"), what.to_string()));
+        if s.stall_least > s.stall_most || s.stall_least.0 == 0 {
+            return bad("stall_least", "expected a time above 0 and at most stall_most");
+        }
+        for (key, value) in [("stall_aims", s.stall_aims), ("stall_gaps", s.stall_gaps)] {
+            if !(value.is_finite() && value >= 0.0) {
+                return bad(key, "expected a number from 0");
+            }
+        }
+        for (key, value) in [("share", s.share), ("replica_share", s.replica_share)] {
+            if !(0.0..=1.0).contains(&value) {
+                return bad(key, "expected a part from 0 to 1");
+            }
+        }
+        if s.window.0 == 0 {
+            return bad("window", "expected a time above 0");
+        }
+        Ok(())
+    }
+
+    /// How streams are treated.
+    pub fn streams(&self) -> streams::Settings {
+        let s = &self.streams;
+        let (least, most) = (s.stall_least.0, s.stall_most.0);
+        let limits = Limits { least, most, aims: s.stall_aims, gaps: s.stall_gaps };
+        let budget = Budget { tries: s.tries, share: s.share, free: s.free, window: s.window.0 };
+        let wait = std::time::Duration::from_micros(s.wait.0);
+        let continues = Continues { budget, replica_share: s.replica_share, wait };
+        streams::Settings { limits, continues: s.continues.then_some(continues) }
+    }
+
     fn resolver(&self, srv: &Srv) -> Config {
         Config {
             name: srv.name.clone(),
--- a/src/program/resolve.rs
+++ b/src/program/resolve.rs
@@ -153,7 +153,6 @@
         held_bytes: 0,
         dial: none,
         idle: none,
-        silence: none,
         stall: none,
         client_idle: none,
         read: none,
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -12,6 +12,7 @@
 use crate::transport::messages::{Message, Phase};
 use crate::transport::pool::Pool;
 use crate::transport::srv::Lookups;
+use crate::transport::streams::Streams;
 use crate::transport::upstream::Upstream;
 use crate::Brain;
 use std::rc::Rc;
@@ -63,15 +64,21 @@
     let (tell, told) = mpsc::channel(MESSAGES);
     let (phase, phases) = watch::channel(Phase::Serving);
     let pool = Pool::new(bounds.upstream, bounds.dial, bounds.idle);
-    let upstream =
-        Upstream { pool: pool.clone(), tell: tell.clone(), boot: boot.clone(), bounds: bounds.clone() };
+    let clock = Clock::start();
+    let streams = Rc::new(Streams::new(clock, operator.streams()));
+    let upstream = Upstream {
+        pool: pool.clone(),
+        tell: tell.clone(),
+        boot: boot.clone(),
+        bounds: bounds.clone(),
+        streams: streams.clone(),
+    };
     let discovery = Watch::new(config.discovery, bounds.clone(), tell.clone());
     discovery.enable(operator.lists());
     if let Some(known) = &config.known {
         discovery.version(known.version());
     }
     let known = config.known.filter(|_| operator.lists()).map(|k| k.told());
-    let clock = Clock::start();
     let directory = Directory::new(boot.clone(), operator.members());
     let hub = Hub::new(clock, Router::new(brain), directory, upstream, discovery.clone(), known);
     let mut lookups = Lookups::new(clock, tell.clone());
@@ -83,7 +90,7 @@
             pool.sweep();
         }
     });
-    let shared = Rc::new(Shared::new(boot, bounds.clone(), tell.clone(), phases.clone()));
+    let shared = Rc::new(Shared::new(boot, bounds.clone(), tell.clone(), phases.clone(), streams.clone()));
     spawn_local(accept(listener, shared.clone(), phases));
     tracing::info!(node = %config.name, listen = %bound, "serving on {bound}");
 
@@ -99,6 +106,7 @@
                     discovery.enable(operator.lists());
                     discovery.move_to(config.discovery);
                     lookups.set(operator.service());
+                    streams.set(operator.streams());
                 }
                 // A bad file must not take down what serves by the good one before it.
                 Err(e) => tracing::error!(why = %e, "kept as it was"),
--- a/src/protocol/request.rs
+++ b/src/protocol/request.rs
@@ -161,11 +161,17 @@
     "srv-load",
 ];
 
-/// The head for a replica, but for the deadline that each attempt adds.
-pub fn upstream_head(head: &Head, body: usize) -> Vec<u8> {
+/// The head for a replica, but for the deadline that each attempt adds. `id` stands in place of the client's.
+pub fn upstream_head(head: &Head, body: usize, id: Option<RequestId>) -> Vec<u8> {
     let Start::Request { method, target } = &head.start else { return Vec::new() };
     let mut out = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
+    if let Some(id) = id {
+        out.extend_from_slice(format!("Req-Id: {id}\r\n").as_bytes());
+    }
     for (name, value) in head.headers.iter() {
+        if id.is_some() && name.eq_ignore_ascii_case("req-id") {
+            continue;
+        }
         if !OWN.iter().any(|own| own.eq_ignore_ascii_case(name)) && !head.headers.has("connection", name) {
             for piece in [name.as_bytes(), b": ", value, b"\r\n"] {
                 out.extend_from_slice(piece);
--- a/src/state.rs
+++ b/src/state.rs
@@ -119,6 +119,8 @@
     pub(crate) memory_held: f64,
     pub(crate) life: Seconds,
     pub(crate) failures: u32,
+    /// Streams in a row that stalled or broke after their first token.
+    pub(crate) broken: u32,
     pub(crate) silent_since: Option<Seconds>,
     pub(crate) paused_until: Seconds,
     pub(crate) next_probe: Seconds,
@@ -223,6 +225,7 @@
             memory_held: 0.0,
             life: 0.0,
             failures: 0,
+            broken: 0,
             silent_since: None,
             paused_until: 0.0,
             next_probe: 0.0,
@@ -244,7 +247,7 @@
     /// A new process forgets what the one before it could bear.
     pub(crate) fn restart(&mut self, cold_since: Option<Seconds>, credit: f64) {
         (self.cold_since, self.cold_credit) = (cold_since, credit);
-        (self.failures, self.silent_since) = (0, None);
+        (self.failures, self.broken, self.silent_since) = (0, 0, None);
         self.paused_until = 0.0;
     }
 
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -1,8 +1,10 @@
 //! One client's connection: requests one after the other, each with one answer.
 
 use super::messages::{Answer, Message, Payload, Phase, Piece};
+use super::relay::{Next, Relay};
+use super::streams::Streams;
 use super::{Bounds, Wire};
-use crate::interface::RequestId;
+use crate::interface::{Arrival, RequestId};
 use crate::protocol::http::{Fault, Head, Http, Out, Part, Side};
 use crate::protocol::request::{self, Reject, Route, MOST_BODY};
 use crate::routing::Input;
@@ -35,6 +37,8 @@
     pub tell: mpsc::Sender<Message>,
     /// How far the node's life has come.
     pub phase: watch::Receiver<Phase>,
+    /// What all streams share.
+    pub streams: Rc<Streams>,
     held: Cell<usize>,
     open: Cell<usize>,
     /// By age alone. With those first that had sent nothing yet, a flood of silent connections pushed usual
@@ -50,9 +54,10 @@
         bounds: Rc<Bounds>,
         tell: mpsc::Sender<Message>,
         phase: watch::Receiver<Phase>,
+        streams: Rc<Streams>,
     ) -> Self {
         let (held, open, idle, marks) = Default::default();
-        Shared { boot, bounds, tell, phase, held, open, idle, marks }
+        Shared { boot, bounds, tell, phase, streams, held, open, idle, marks }
     }
     /// As many connections are open as may be.
     pub fn full(&self) -> bool {
@@ -248,14 +253,14 @@
             Err(reject) => return self.turn_down(reject, None).await,
         };
         let id = arrival.id;
-        let payload = Payload { head: request::upstream_head(&head, body.len()), body };
-        let (answer, answered) = oneshot::channel();
-        self.shared.tell.send(Message::Request { arrival, payload, answer }).await.map_err(|_| Leave)?;
-        let Ok(answer) = self.until_gone(answered).await else { return self.gone(id).await };
-        let answer = answer.map_err(|_| Leave)?;
+        let payload = Payload { head: request::upstream_head(&head, body.len(), None), body: body.clone() };
+        let answer = match self.ask(arrival.clone(), payload).await {
+            Ok(answer) => answer?,
+            Err(Leave) => return self.gone(id).await,
+        };
         let close = self.last() || !head.keep;
-        let (content_type, body) = match answer {
-            Answer::Stream { content_type, body } => (content_type, body),
+        let (content_type, replica, stream) = match answer {
+            Answer::Stream { content_type, replica, body } => (content_type, replica, body),
             Answer::Duplicate => {
                 let reason = "Req-Id is that of a request still being served".to_string();
                 return self.turn_down(Reject { status: 400, reason }, None).await;
@@ -271,14 +276,33 @@
                 return if close { Err(Leave) } else { Ok(()) };
             }
         };
-        drop(hold);
-        match self.stream(&content_type, body, close).await {
+        let (streams, boot) = (self.shared.streams.clone(), self.shared.boot.clone());
+        let mut relay = Relay::new(&streams, &boot, arrival, head, body, replica, &content_type);
+        if relay.is_none() {
+            drop(hold);
+        }
+        self.feed(Out::Raw(request::stream_head(&content_type, close))).await?;
+        let done = match &mut relay {
+            None => self.stream(stream).await,
+            Some(relay) => self.saved(relay, stream).await,
+        };
+        match done {
             Ok(true) if !close => Ok(()),
             Ok(true) => Err(Leave),
             // Without the last chunk: the client sees that the stream is not whole.
             Ok(false) => Err(Leave),
-            Err(Leave) => self.gone(id).await,
+            Err(Leave) => self.gone(relay.map_or(id, |r| r.id())).await,
+        }
+    }
+
+    /// Gives a request to the core and waits for its answer. The outer error says that the client has left.
+    async fn ask(&mut self, arrival: Arrival, payload: Payload) -> Result<Result<Answer, Leave>, Leave> {
+        let (answer, answered) = oneshot::channel();
+        let told = self.shared.tell.send(Message::Request { arrival, payload, answer }).await;
+        if told.is_err() {
+            return Ok(Err(Leave));
         }
+        Ok(self.until_gone(answered).await?.map_err(|_| Leave))
     }
 
     /// Tells the core that nobody waits for this request any more.
@@ -352,13 +376,7 @@
     }
 
     /// Passes a stream on as it comes; false where it broke.
-    async fn stream(
-        &mut self,
-        content_type: &str,
-        mut body: mpsc::Receiver<Piece>,
-        close: bool,
-    ) -> Result<bool, Leave> {
-        self.feed(Out::Raw(request::stream_head(content_type, close))).await?;
+    async fn stream(&mut self, mut body: mpsc::Receiver<Piece>) -> Result<bool, Leave> {
         loop {
             let mut next = self.until_gone(body.recv()).await?;
             // What has come together goes out together.
@@ -383,6 +401,55 @@
             self.flush().await?;
         }
     }
+
+    /// Passes a stream on and saves it where it can be saved; false where it failed.
+    async fn saved(&mut self, relay: &mut Relay, mut body: mpsc::Receiver<Piece>) -> Result<bool, Leave> {
+        loop {
+            let whole = match self.until_gone(body.recv()).await? {
+                Some(Piece::Bytes(bytes)) => {
+                    let bytes = relay.pass(&bytes);
+                    if !bytes.is_empty() {
+                        self.send(Out::Chunk(bytes)).await?;
+                    }
+                    continue;
+                }
+                Some(Piece::End) => relay.whole(),
+                None => false,
+            };
+            if whole {
+                let rest = relay.rest();
+                if !rest.is_empty() {
+                    self.feed(Out::Chunk(rest)).await?;
+                }
+                self.send(Out::Last).await?;
+                return Ok(true);
+            }
+            let mut next = relay.ended(self.last());
+            if let Next::Ask(asked) = next {
+                let (arrival, payload) = *asked;
+                next = match self.ask(arrival, payload).await?? {
+                    Answer::Stream { replica, body: rest, .. } => {
+                        relay.carried_on(replica);
+                        body = rest;
+                        continue;
+                    }
+                    _ => relay.refused(),
+                };
+            }
+            let (last, whole) = match next {
+                Next::Complete(last) => (last, true),
+                Next::Fail(last) => (last, false),
+                Next::Ask(_) => return Ok(false),
+            };
+            if !last.is_empty() {
+                self.send(Out::Chunk(last)).await?;
+            }
+            if whole {
+                self.send(Out::Last).await?;
+            }
+            return Ok(whole);
+        }
+    }
 }
 
 /// Reads and forgets, up to a bound, until the other side has closed.
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -4,7 +4,7 @@
 use super::discovery::Watch;
 use super::messages::{Answer, Message, Payload, Piece, LIST};
 use super::upstream::{Job, Upstream};
-use crate::interface::RequestId;
+use crate::interface::{ReplicaId, RequestId};
 use crate::routing::directory::{Changed, Directory};
 use crate::routing::{Command, Input, Micros, Router};
 use poppykeel_membership::Told;
@@ -21,6 +21,8 @@
 
 struct Client {
     payload: Rc<Payload>,
+    /// The class's wish for the time between tokens, in microseconds.
+    token_aim: Option<Micros>,
     answer: oneshot::Sender<Answer>,
 }
 
@@ -34,7 +36,7 @@
     clients: HashMap<RequestId, Client>,
     attempts: HashMap<(RequestId, usize), AbortHandle>,
     /// A stream whose first event is being told to the core.
-    offered: Option<(String, mpsc::Receiver<Piece>)>,
+    offered: Option<(String, ReplicaId, mpsc::Receiver<Piece>)>,
     commands: Vec<Command>,
 }
 
@@ -99,11 +101,14 @@
                 return;
             }
             Message::Request { arrival, payload, answer } => {
-                self.clients.insert(arrival.id, Client { payload: Rc::new(payload), answer });
+                let class = self.upstream.boot.settings.classes.get(arrival.class);
+                let token_aim = class.map(|c| c.token_aim * 1e6).filter(|aim| aim.is_finite());
+                let token_aim = token_aim.map(|aim| aim as Micros);
+                self.clients.insert(arrival.id, Client { payload: Rc::new(payload), token_aim, answer });
                 Input::Arrived(arrival)
             }
-            Message::First { request, attempt, content_type, body } => {
-                self.offered = Some((content_type, body));
+            Message::First { request, attempt, content_type, replica, body } => {
+                self.offered = Some((content_type, replica, body));
                 Input::First { request, attempt }
             }
             Message::Told { source, told } => {
@@ -161,6 +166,18 @@
             ends = ?c.ends,
             "summary"
         );
+        let s = self.upstream.streams.counts();
+        tracing::info!(
+            whole = s.whole,
+            stalled = s.stalled,
+            broken = s.broken,
+            continued = s.continued,
+            saved = s.saved,
+            completed = s.completed,
+            failed = s.failed,
+            dropped = s.dropped,
+            "streams"
+        );
     }
 
     fn carry_out(&mut self, now: Micros) {
@@ -177,13 +194,9 @@
                         self.router.handle(now, input, &mut self.commands);
                         continue;
                     };
-                    let job = Job {
-                        request,
-                        attempt,
-                        peer: (replica, addr),
-                        wait: until.saturating_sub(now),
-                        payload,
-                    };
+                    let (peer, wait) = ((replica, addr), until.saturating_sub(now));
+                    let token_aim = self.clients.get(&request).and_then(|c| c.token_aim);
+                    let job = Job { request, attempt, peer, wait, token_aim, payload };
                     let task = tokio::task::spawn_local(self.upstream.clone().attempt(job));
                     self.attempts.insert((request, attempt), task.abort_handle());
                 }
@@ -193,10 +206,10 @@
                     }
                 }
                 Command::Bind { request, .. } => {
-                    if let (Some(client), Some((content_type, body))) =
+                    if let (Some(client), Some((content_type, replica, body))) =
                         (self.clients.remove(&request), self.offered.take())
                     {
-                        let _ = client.answer.send(Answer::Stream { content_type, body });
+                        let _ = client.answer.send(Answer::Stream { content_type, replica, body });
                     }
                 }
                 Command::Refuse { request, retry_after } => {
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -1,6 +1,6 @@
 //! What drivers tell each other. Everything here is plain data; each driver uses this file and those below it.
 
-use crate::interface::{Arrival, RequestId};
+use crate::interface::{Arrival, ReplicaId, RequestId};
 use crate::routing::directory::Members;
 use crate::routing::{Input, Micros};
 use bytes::Bytes;
@@ -27,6 +27,8 @@
     Stream {
         /// Its content type.
         content_type: String,
+        /// Who writes it.
+        replica: ReplicaId,
         /// Its bytes.
         body: mpsc::Receiver<Piece>,
     },
@@ -53,6 +55,8 @@
         attempt: usize,
         /// The stream's content type.
         content_type: String,
+        /// Who writes it.
+        replica: ReplicaId,
         /// The stream's bytes.
         body: mpsc::Receiver<Piece>,
     },
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -8,7 +8,9 @@
 pub mod listener;
 pub mod messages;
 pub mod pool;
+pub mod relay;
 pub mod srv;
+pub mod streams;
 pub mod upstream;
 
 use crate::protocol::http::Http;
@@ -32,8 +34,6 @@
     pub dial: Duration,
     /// An idle connection to a replica is dropped after this time.
     pub idle: Duration,
-    /// A stream that is silent for so long has broken.
-    pub silence: Duration,
     /// A client that takes nothing for so long is let go.
     pub stall: Duration,
     /// A client connection without a request is closed after this time.
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -3,6 +3,7 @@
 
 use super::messages::{Message, Payload, Piece};
 use super::pool::{Conn, NoConn, Peer, Pool};
+use super::streams::Streams;
 use super::Bounds;
 use crate::interface::{Outcome, ReplicaId, Report, RequestId};
 use crate::protocol::answer::{Answer, Step};
@@ -13,10 +14,11 @@
 use crate::wire::Boot;
 use bytes::{Buf, Bytes};
 use futures_util::{SinkExt, StreamExt};
+use poppykeel_streams::Health;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{self, error::TrySendError};
 
 /// A request goes out in pieces of this size, so that no buffer grows with the body.
 const PIECE: usize = 16 * 1024;
@@ -36,6 +38,8 @@
     pub boot: Rc<Boot>,
     /// The figures.
     pub bounds: Rc<Bounds>,
+    /// What all streams share.
+    pub streams: Rc<Streams>,
 }
 
 /// One attempt.
@@ -48,6 +52,8 @@
     pub peer: Peer,
     /// How long the node will wait.
     pub wait: Micros,
+    /// The class's wish for the time between tokens, in microseconds.
+    pub token_aim: Option<Micros>,
     /// What is sent.
     pub payload: Rc<Payload>,
 }
@@ -89,20 +95,28 @@
         let mut steps = Vec::new();
         let mut keep = false;
         let mut to_client = None;
+        let mut health: Option<Health> = None;
         loop {
             let next = conn.wire.next();
-            let part = if answer.started() {
-                match tokio::time::timeout(self.bounds.silence, next).await {
+            let silence =
+                health.as_ref().and_then(Health::due).map(|due| due.saturating_sub(self.streams.now()));
+            let part = match silence {
+                Some(silence) => match tokio::time::timeout(Duration::from_micros(silence), next).await {
                     Ok(part) => part,
                     // A replica that vanished leaves its connections open and quiet: its client must
                     // not be left waiting with it.
-                    Err(_) => return (Outcome::TimedOut, None, None),
-                }
-            } else {
-                next.await
+                    Err(_) => {
+                        self.streams.gave_up(job.peer.0, silence);
+                        return (Outcome::TimedOut, None, None);
+                    }
+                },
+                None => next.await,
             };
             match part {
                 Some(Ok(part)) => {
+                    if let Some(health) = &mut health {
+                        self.streams.event(job.peer.0, health);
+                    }
                     if let Part::Head(head) = &part {
                         keep = head.keep;
                         let (request, attempt, from) = (job.request, job.attempt, job.peer.1);
@@ -118,12 +132,18 @@
                         let (sender, body) = mpsc::channel(PIECES);
                         to_client = Some(sender);
                         let (request, attempt) = (job.request, job.attempt);
-                        let first = Message::First { request, attempt, content_type, body };
+                        let replica = job.peer.0;
+                        health = Some(self.streams.begin(replica, job.token_aim));
+                        let first = Message::First { request, attempt, content_type, replica, body };
                         let _ = self.tell.send(first).await;
                     }
                     Step::Pass(bytes) => {
-                        if let Some(sender) = &to_client {
-                            let _ = sender.send(Piece::Bytes(bytes)).await;
+                        let Some(sender) = &to_client else { continue };
+                        if let Err(TrySendError::Full(piece)) = sender.try_send(Piece::Bytes(bytes)) {
+                            // The reader does not keep up: the silence that follows is not the replica's.
+                            health.iter_mut().for_each(|h| h.reader_waits(self.streams.now()));
+                            let _ = sender.send(piece).await;
+                            health.iter_mut().for_each(|h| h.reader_took(self.streams.now()));
                         }
                     }
                     Step::Done(outcome, report) => {
@@ -131,6 +151,9 @@
                             let _ = sender.send(Piece::End).await;
                         }
                         let broken = matches!(outcome, Outcome::Reset);
+                        if broken && to_client.is_some() {
+                            self.streams.count(|c| c.broken += 1);
+                        }
                         return (outcome, report, Some(conn).filter(|_| keep && !broken));
                     }
                 }
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -5,8 +5,10 @@
 use poppykeel::protocol::http::{Out, Part};
 use poppykeel::routing::directory::identity;
 use poppykeel::transport::client::{Client, Shared};
+use poppykeel::transport::clock::Clock;
 use poppykeel::transport::messages::Phase;
 use poppykeel::transport::pool::Pool;
+use poppykeel::transport::streams::Streams;
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -51,7 +53,8 @@
     assert!(read < Duration::from_secs(3));
     let (tell, _told) = mpsc::channel(1);
     let (_phase, phases) = watch::channel(Phase::Serving);
-    let shared = Rc::new(Shared::new(Rc::new(config.boot), Rc::new(config.bounds), tell, phases));
+    let streams = Rc::new(Streams::new(Clock::start(), Default::default()));
+    let shared = Rc::new(Shared::new(Rc::new(config.boot), Rc::new(config.bounds), tell, phases, streams));
     for (bytes, answer) in [
         ("", ""),
         ("POST /v1/", "HTTP/1.1 408 "),
