--- /dev/null
+++ b/benches/streams.rs
@@ -0,0 +1,192 @@
+//! Measurements of streams on loopback sockets and without: `cargo bench --bench streams -- seen|recovery|detection|cost`.
+//! Nothing here is asserted but the checker's rules; the figures of `docs/streams.md` come from it.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use oorandom::Rand64;
+use poppykeel_standin::{check, Fault, Outcome, Rule, Script, Seen, Standin};
+use poppykeel_streams::{Gaps, Health, Limits, Story};
+use std::sync::Mutex;
+use std::time::Instant;
+use support::Node;
+
+fn main() {
+    let parts: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with('-')).collect();
+    let wanted = |name: &str| parts.is_empty() || parts.iter().any(|p| p == name);
+    println!("machine: {} cores", std::thread::available_parallelism().map_or(0, usize::from));
+    if wanted("seen") {
+        seen();
+    }
+    if wanted("recovery") {
+        recovery();
+    }
+    if wanted("detection") {
+        detection();
+    }
+    if wanted("cost") {
+        cost();
+    }
+}
+
+/// A percentile, in the unit of the values.
+fn at(values: &mut [f64], part: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let place = ((values.len() as f64 * part).ceil() as usize).clamp(1, values.len().max(1)) - 1;
+    values.get(place).copied().unwrap_or(f64::NAN)
+}
+
+fn script(rules: Vec<Rule>) -> Script {
+    Script { first_ms: 5, gap_ms: 20, tokens: 12, rule: rules }
+}
+
+fn rule(every: u64, continued: Option<bool>, fault: Fault) -> Rule {
+    Rule { prompt: None, continued, every, once: false, most: None, fault }
+}
+
+/// 200 streams over three servers, one of which cuts or silences every stream of its own; platform's settings.
+fn seen() {
+    let faults = [
+        ("cuts after 6 of 12 events", Fault::CutBytes { after: 1000, reset: false }),
+        ("is silent for 3 s in every stream", Fault::Stall { after: 6, ms: 3050 }),
+        ("is silent for 20 s in every stream", Fault::Stall { after: 6, ms: 20_000 }),
+    ];
+    for (what, fault) in faults {
+        let faulty = script(vec![rule(1, None, fault)]);
+        let servers = Standin::start(vec![faulty, script(vec![]), script(vec![])]).unwrap();
+        let node = Node::start("seen", servers.addrs(), "", "safe");
+        let seen = support::run(&node, 8, 200, 12, |n| format!("seen {n}"));
+        let verdict = check(&seen, &servers.records());
+        let share = servers.records().iter().filter(|r| r.server == 0).count();
+        println!(
+            "seen: one of three {what}: {} of 200 whole, {} half, {} refused; {share} requests went to it; {} broken rules",
+            verdict.whole,
+            verdict.failed,
+            verdict.refused,
+            verdict.broken.len()
+        );
+    }
+}
+
+/// 10,000 streams with one in twenty faulty: half of those cut, half silent for ever.
+fn recovery() {
+    let faults = || {
+        vec![
+            rule(40, Some(false), Fault::CutBytes { after: 1000, reset: true }),
+            rule(39, Some(false), Fault::Stall { after: 6, ms: 60_000 }),
+        ]
+    };
+    let on = "[streams]\ncontinue = true\nshare = 0.2\n";
+    for (what, operator) in [("off", ""), ("on", on)] {
+        let script = Script { gap_ms: 2, ..script(faults()) };
+        let servers = Standin::start(vec![script; 4]).unwrap();
+        let node = Node::start(&format!("recovery-{what}"), servers.addrs(), operator, "safe");
+        let times: Mutex<Vec<(Outcome, f64)>> = Mutex::new(Vec::new());
+        let count = 10_000;
+        let next = std::sync::atomic::AtomicUsize::new(0);
+        let start = Instant::now();
+        let seen: Vec<Seen> = std::thread::scope(|scope| {
+            let work = || {
+                let mut seen = Vec::new();
+                loop {
+                    let n = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    if n >= count {
+                        return seen;
+                    }
+                    let (prompt, begun) = (format!("recovery {n}"), Instant::now());
+                    let (id, mut stream) = support::ask(&node, &prompt, 12);
+                    let one = support::read(id, &prompt, 12, &mut stream);
+                    times.lock().unwrap().push((one.outcome, begun.elapsed().as_secs_f64()));
+                    seen.push(one);
+                }
+            };
+            let threads: Vec<_> = (0..64).map(|_| scope.spawn(work)).collect();
+            threads.into_iter().flat_map(|t| t.join().unwrap()).collect()
+        });
+        let verdict = check(&seen, &servers.records());
+        let times = times.into_inner().unwrap();
+        let of = |wanted: fn(&Outcome) -> bool| -> Vec<f64> {
+            times.iter().filter(|t| wanted(&t.0)).map(|t| t.1).collect()
+        };
+        let mut failed = of(|o| matches!(o, Outcome::Told | Outcome::Cut));
+        let mut whole = of(|o| *o == Outcome::Whole);
+        println!(
+            "recovery {what}: {:.2}% whole ({} continued), {:.2}% failed, {:.2}% refused in {:.0} s; a failure known after \
+             p50 {:.2} s, p99 {:.2} s; whole ones p50 {:.3} s, p99 {:.3} s; {} broken rules; extra tokens {:.2}%",
+            verdict.whole as f64 / count as f64 * 100.0,
+            verdict.continued,
+            verdict.failed as f64 / count as f64 * 100.0,
+            verdict.refused as f64 / count as f64 * 100.0,
+            start.elapsed().as_secs_f64(),
+            at(&mut failed, 0.5),
+            at(&mut failed, 0.99),
+            at(&mut whole, 0.5),
+            at(&mut whole, 0.99),
+            verdict.broken.len(),
+            verdict.extra_tokens as f64 / (count as f64 * 12.0) * 100.0
+        );
+    }
+}
+
+/// False stalls among healthy but slow streams, and the time until a dead one is noticed, in fed time.
+fn detection() {
+    let rules = [
+        ("the rule", Limits::default()),
+        ("fixed 3 s", Limits { least: 3_000_000, most: 3_000_000, ..Limits::default() }),
+        ("fixed 4.6 s", Limits { least: 4_600_000, most: 4_600_000, ..Limits::default() }),
+    ];
+    // Of a slow replica's streams of 100 gaps, so many long pauses of this many seconds.
+    for (what, chance, most) in
+        [("fast", 0.0, 0.0), ("slow, pauses to 3.5 s", 0.02, 3.5), ("slow, to 4.4 s", 0.02, 4.4)]
+    {
+        for (name, limits) in &rules {
+            let (mut rng, mut gaps, mut lost, mut found) = (Rand64::new(7), Gaps::default(), 0, Vec::new());
+            let streams = 2000;
+            for _ in 0..streams {
+                let limit = gaps.limit(None, limits);
+                for _ in 0..100 {
+                    let pause = rng.rand_float() < chance;
+                    let gap =
+                        if pause { 0.5 + (most - 0.5) * rng.rand_float() } else { 0.08 * rng.rand_float() };
+                    let gap = (gap * 1e6) as u64;
+                    if gap >= limit {
+                        gaps.gave_up(limit);
+                        lost += 1;
+                        break;
+                    }
+                    gaps.add(gap);
+                }
+                found.push(gaps.limit(None, limits) as f64 / 1e6);
+            }
+            println!(
+                "detection: {what}, {name}: {:.2}% of healthy streams given up; a dead one noticed after p50 {:.2} s",
+                f64::from(lost) / f64::from(streams) * 100.0,
+                at(&mut found, 0.5)
+            );
+        }
+    }
+}
+
+/// What is added to each event that passes.
+fn cost() {
+    let events = 1_000_000_u64;
+    let (mut gaps, mut health) = (Gaps::default(), Health::new(0, 3_000_000, None));
+    let start = Instant::now();
+    for n in 0..events {
+        if let Some(gap) = health.event(n * 20_000) {
+            gaps.add(gap);
+        }
+    }
+    println!("cost: {:.0} ns an event for its gap", start.elapsed().as_nanos() as f64 / events as f64);
+    let event = b"data: {\"id\":\"x\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"abc \"},\"finish_reason\":null}]}\n\n";
+    let mut story = Story::default();
+    let start = Instant::now();
+    let some = events / 40;
+    for _ in 0..some {
+        story.feed(0, event);
+    }
+    println!(
+        "cost: {:.0} ns an event more where streams are continued",
+        start.elapsed().as_nanos() as f64 / some as f64
+    );
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -331,7 +331,10 @@
     }
 
     fn homes(&self, arrival: &Arrival) -> Vec<ReplicaId> {
-        self.order(arrival, |_, r| r.up && !Self::ejected(r))
+        // One whose streams broke would never get its trial while others have room, but as a home.
+        let trial = |r: &Replica| r.failures < EJECT_AFTER && r.silent_since.is_none();
+        let due = |r: &Replica| trial(r) && self.now >= r.paused_until;
+        self.order(arrival, |_, r| r.up && (!Self::ejected(r) || due(r)))
     }
 
     /// The place of a replica in a session's order, lowest first: larger ones come first more often.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -321,6 +321,32 @@
     }
 }
 
+/// Guards against first tokens that clear the failures of a replica whose streams never end whole.
+#[test]
+fn a_replica_whose_streams_break_in_a_row_gets_little_until_one_is_whole() {
+    for outcome in [Outcome::TimedOut, Outcome::Reset] {
+        let mut rig = Rig::new(settings(), 3);
+        let mut sent = [[0; 3]; 2];
+        for n in 0..160 {
+            let out = rig.tell(Event::Arrived(request(n, 0, 0, 5.0)));
+            let to = out.iter().find_map(|a| match a {
+                Action::Send { replica, .. } => Some(*replica),
+                _ => None,
+            });
+            let to = (0..3).find(|r| Some(replica(*r)) == to).unwrap();
+            // First tokens come from it as from the others, and for the second half its streams are whole.
+            let late = usize::from(n >= 80);
+            sent[late][to] += 1;
+            rig.tell(Event::Started { request: RequestId(n), attempt: 0, elapsed: 0.01 });
+            let whole = to != 0 || late == 1;
+            rig.end(n, 0, if whole { Outcome::Served } else { outcome }, true);
+            rig.wait(0.02);
+        }
+        assert!((3..=6).contains(&sent[0][0]), "{outcome:?}: {sent:?}");
+        assert!(sent[1][0] > 10, "{outcome:?}: {sent:?}");
+    }
+}
+
 /// Guards against a replica that errors at once, frees room at once and draws every held request.
 #[test]
 fn a_replica_that_fails_at_once_is_ejected_and_tried_again_later() {
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -1,146 +1,20 @@
 //! Streams that stall and break, on loopback sockets: stand-in model servers by scripts, the node as a process of its
 //! own, and the one checker over what clients and servers saw.
 
+mod support;
+
 use poppykeel_standin::{check, Fault, Outcome, Part, Rule, Script, Seen, Standin, Verdict};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::process::Command;
 use std::time::Duration;
+use support::{ask, read, Node};
+
+/// Clients at a time.
+const CLIENTS: usize = 32;
 
 /// Continuing without a narrow budget, and stalls seen soon.
 const SAVES: &str = "[streams]\ncontinue = true\nshare = 1.0\nreplica_share = 1.0\nfree = 100000\n\
                      stall_least = 0.2\nstall_most = 0.2\n";
 
-struct Node {
-    child: Child,
-    addr: SocketAddr,
-    files: [PathBuf; 2],
-}
-
-impl Node {
-    fn start(name: &str, servers: &[SocketAddr], operator: &str, semantics: &str) -> Node {
-        let entry = |(n, addr): (usize, &SocketAddr)| {
-            format!(
-                r#"{{"id":"s-{n}","addr":"{addr}","zone":"a","kind":"k","cell":0,"state":"up","weight":1.0,"started_ms":0}}"#
-            )
-        };
-        let list = servers.iter().enumerate().map(entry).collect::<Vec<_>>().join(",");
-        let config = include_str!("exchanges/config.json").replace("DISCOVERY", "127.0.0.1:1");
-        let (from, to) = (config.find("{\"id\"").unwrap(), config.find("]},").unwrap());
-        let config =
-            config.replace(&config[from..to], &list).replace("\"safe\"", &format!("\"{semantics}\""));
-        let file = |kind: &str, text: &str| {
-            let path = std::env::temp_dir().join(format!("streams-{name}-{}.{kind}", std::process::id()));
-            std::fs::write(&path, text).unwrap();
-            path
-        };
-        let files = [file("json", &config), file("toml", operator)];
-        let mut child = Command::new(env!("CARGO_BIN_EXE_poppykeel"))
-            .args(["serve", "--config"])
-            .arg(&files[0])
-            .arg("--operator")
-            .arg(&files[1])
-            .env_remove("GW_DISCOVERY")
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
-        let line = log.find(|l| l.contains("serving on")).expect("the node serves");
-        std::thread::spawn(move || log.for_each(|line| println!("{line}")));
-        let addr = line.split("serving on ").nth(1).and_then(|l| l.split(' ').next()).unwrap();
-        Node { child, addr: addr.parse().unwrap(), files }
-    }
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        self.files.iter().for_each(|f| drop(std::fs::remove_file(f)));
-    }
-}
-
-/// Clients at a time.
-const THREADS: usize = 32;
-
-static IDS: AtomicU64 = AtomicU64::new(1);
-
-/// Sends one request and returns its connection.
-fn ask(node: &Node, prompt: &str, tokens: usize) -> (String, TcpStream) {
-    let id = format!("{:016x}", IDS.fetch_add(1, Ordering::Relaxed));
-    let mut stream = TcpStream::connect(node.addr).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
-    let body = serde_json::json!({
-        "model": "chat", "stream": true, "max_tokens": tokens, "stream_options": {"include_usage": true},
-        "messages": [{"role": "user", "content": prompt}],
-    })
-    .to_string();
-    let head = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: chat\r\nReq-Deadline: 10\r\n\
-         Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    stream.write_all(head.as_bytes()).unwrap();
-    (id, stream)
-}
-
-/// Reads an answer to its end, and takes the chunk framing off.
-fn read(id: String, prompt: &str, tokens: usize, stream: &mut TcpStream) -> Seen {
-    let mut bytes = Vec::new();
-    let end = stream.read_to_end(&mut bytes);
-    let (prompt, usage) = (prompt.to_string(), true);
-    let seen = |outcome, body| Seen { id, prompt, tokens, usage, outcome, body };
-    let Some(head) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else {
-        return seen(Outcome::Never, Vec::new());
-    };
-    let status = String::from_utf8_lossy(&bytes[9..12]).parse().unwrap_or(0);
-    if status != 200 {
-        return seen(Outcome::Refused(status), Vec::new());
-    }
-    let (mut rest, mut body, mut last) = (&bytes[head + 4..], Vec::new(), false);
-    while let Some(line) = rest.windows(2).position(|w| w == b"\r\n") {
-        let size = usize::from_str_radix(&String::from_utf8_lossy(&rest[..line]), 16).unwrap();
-        if size == 0 {
-            last = true;
-            break;
-        }
-        let Some(chunk) = rest.get(line + 2..line + 2 + size) else { break };
-        body.extend_from_slice(chunk);
-        rest = rest.get(line + 4 + size..).unwrap_or_default();
-    }
-    let told = String::from_utf8_lossy(&body).contains("data: {\"error\"");
-    let outcome = match (last, told, end.is_ok()) {
-        (true, ..) => Outcome::Whole,
-        (_, true, true) => Outcome::Told,
-        (_, _, true) => Outcome::Cut,
-        _ => Outcome::Never,
-    };
-    seen(outcome, body)
-}
-
-/// Asks so many times from a few threads; prompts are made from the number.
-fn run(node: &Node, count: usize, tokens: usize, prompt: impl Fn(usize) -> String + Sync) -> Vec<Seen> {
-    let next = AtomicU64::new(0);
-    std::thread::scope(|scope| {
-        let work = || {
-            let mut seen = Vec::new();
-            loop {
-                let n = next.fetch_add(1, Ordering::Relaxed) as usize;
-                if n >= count {
-                    return seen;
-                }
-                let prompt = prompt(n);
-                let (id, mut stream) = ask(node, &prompt, tokens);
-                seen.push(read(id, &prompt, tokens, &mut stream));
-            }
-        };
-        let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(work)).collect();
-        threads.into_iter().flat_map(|t| t.join().unwrap()).collect()
-    })
-}
-
 fn good(verdict: &Verdict) {
     assert!(verdict.broken.is_empty(), "{:#?}", &verdict.broken[..verdict.broken.len().min(5)]);
 }
@@ -166,7 +40,7 @@
         let servers = Standin::start(vec![cut; 3]).unwrap();
         let node = Node::start(&format!("cut-{reset}"), servers.addrs(), SAVES, "safe");
         // One body of four tokens is less than 1,200 bytes long; the cuts beyond it never happen.
-        let seen = run(&node, 1200, 4, |n| format!("any prompt {n} cut={n}"));
+        let seen = support::run(&node, CLIENTS, 1200, 4, |n| format!("any prompt {n} cut={n}"));
         let verdict = check(&seen, &servers.records());
         good(&verdict);
         assert_eq!((verdict.whole, verdict.requests), (1200, 1200), "{verdict:?}");
@@ -181,7 +55,7 @@
         let servers = Standin::start(vec![with(6, vec![rule(cut, false)]); 2]).unwrap();
         let node = Node::start(&format!("part-{part:?}"), servers.addrs(), SAVES, "safe");
         // One more token than there are, so that something is left to be asked for.
-        let seen = run(&node, 1, 7, |n| format!("part {n}"));
+        let seen = support::run(&node, CLIENTS, 1, 7, |n| format!("part {n}"));
         let seen: Vec<Seen> = seen.into_iter().map(|s| Seen { tokens: 6, ..s }).collect();
         let verdict = check(&seen, &servers.records());
         good(&verdict);
@@ -195,7 +69,8 @@
         let stall = with(8, vec![rule(Fault::Stall { after: 1, ms }, false)]);
         let servers = Standin::start(vec![stall; 3]).unwrap();
         let node = Node::start(&format!("recovers-{ms}"), servers.addrs(), SAVES, "safe");
-        let verdict = check(&run(&node, 40, 8, |n| format!("recovers {n}")), &servers.records());
+        let verdict =
+            check(&support::run(&node, CLIENTS, 40, 8, |n| format!("recovers {n}")), &servers.records());
         good(&verdict);
         assert_eq!(verdict.whole, 40, "{verdict:?}");
     }
@@ -207,7 +82,7 @@
     let servers = Standin::start(vec![with(8, vec![stall()]); 3]).unwrap();
     let operator = SAVES.replace("free = 100000", "free = 2").replace("share = 1.0", "share = 0.1");
     let node = Node::start("storm", servers.addrs(), &operator, "safe");
-    let seen = run(&node, 60, 8, |n| format!("storm {n}"));
+    let seen = support::run(&node, CLIENTS, 60, 8, |n| format!("storm {n}"));
     let verdict = check(&seen, &servers.records());
     good(&verdict);
     let continued = servers.records().iter().filter(|r| r.done > 0).count();
@@ -224,7 +99,7 @@
     ];
     let servers = Standin::start(vec![with(9, stalls); 4]).unwrap();
     let node = Node::start("again", servers.addrs(), SAVES, "safe");
-    let seen = run(&node, 4, 9, |n| format!("again {n}"));
+    let seen = support::run(&node, CLIENTS, 4, 9, |n| format!("again {n}"));
     let verdict = check(&seen, &servers.records());
     good(&verdict);
     assert_eq!((verdict.failed, servers.records().len()), (4, 12), "{verdict:?}");
@@ -237,7 +112,7 @@
     let late = vec![rule(Fault::Stall { after: 1, ms: 60_000 }, false), rule(Fault::Silent, true)];
     let servers = Standin::start(vec![with(9, late); 2]).unwrap();
     let node = Node::start("late", servers.addrs(), &format!("{SAVES}wait = 0.3\n"), "safe");
-    let seen = run(&node, 1, 9, |n| format!("late {n}"));
+    let seen = support::run(&node, CLIENTS, 1, 9, |n| format!("late {n}"));
     good(&check(&seen, &servers.records()));
     assert_eq!(seen[0].outcome, Outcome::Told);
 }
@@ -248,7 +123,7 @@
     for (operator, semantics, outcome) in [(SAVES, "unsafe", Outcome::Told), ("", "safe", Outcome::Cut)] {
         let servers = Standin::start(vec![with(9, vec![rule(cut.clone(), false)]); 2]).unwrap();
         let node = Node::start(&format!("ends-{semantics}"), servers.addrs(), operator, semantics);
-        let seen = run(&node, 3, 9, |n| format!("ends {n}"));
+        let seen = support::run(&node, CLIENTS, 3, 9, |n| format!("ends {n}"));
         let verdict = check(&seen, &servers.records());
         good(&verdict);
         assert!(seen.iter().all(|s| s.outcome == outcome), "{seen:?}");
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,144 @@
+//! A node with stand-in model servers, and clients that ask it: for tests and measurements alike.
+
+use poppykeel_standin::{Outcome, Seen};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// A node as a process of its own.
+pub struct Node {
+    /// The process.
+    pub child: Child,
+    /// Where it serves.
+    pub addr: SocketAddr,
+    files: [PathBuf; 2],
+}
+
+impl Node {
+    /// Starts one with these model servers on its list, the operators' text and one class of this effect.
+    pub fn start(name: &str, servers: &[SocketAddr], operator: &str, semantics: &str) -> Node {
+        let entry = |(n, addr): (usize, &SocketAddr)| {
+            format!(
+                r#"{{"id":"s-{n}","addr":"{addr}","zone":"a","kind":"k","cell":0,"state":"up","weight":1.0,"started_ms":0}}"#
+            )
+        };
+        let list = servers.iter().enumerate().map(entry).collect::<Vec<_>>().join(",");
+        let config = include_str!("../exchanges/config.json").replace("DISCOVERY", "127.0.0.1:1");
+        let (from, to) = (config.find("{\"id\"").unwrap(), config.find("]},").unwrap());
+        let config =
+            config.replace(&config[from..to], &list).replace("\"safe\"", &format!("\"{semantics}\""));
+        let file = |kind: &str, text: &str| {
+            let path = std::env::temp_dir().join(format!("streams-{name}-{}.{kind}", std::process::id()));
+            std::fs::write(&path, text).unwrap();
+            path
+        };
+        let files = [file("json", &config), file("toml", operator)];
+        let mut child = Command::new(env!("CARGO_BIN_EXE_poppykeel"))
+            .args(["serve", "--config"])
+            .arg(&files[0])
+            .arg("--operator")
+            .arg(&files[1])
+            .env_remove("GW_DISCOVERY")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let line = log.find(|l| l.contains("serving on")).expect("the node serves");
+        std::thread::spawn(move || log.for_each(|line| println!("{line}")));
+        let addr = line.split("serving on ").nth(1).and_then(|l| l.split(' ').next()).unwrap();
+        Node { child, addr: addr.parse().unwrap(), files }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.files.iter().for_each(|f| drop(std::fs::remove_file(f)));
+    }
+}
+
+static IDS: AtomicU64 = AtomicU64::new(1);
+
+/// Sends one request and returns its connection.
+pub fn ask(node: &Node, prompt: &str, tokens: usize) -> (String, TcpStream) {
+    let id = format!("{:016x}", IDS.fetch_add(1, Ordering::Relaxed));
+    let mut stream = TcpStream::connect(node.addr).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let body = serde_json::json!({
+        "model": "chat", "stream": true, "max_tokens": tokens, "stream_options": {"include_usage": true},
+        "messages": [{"role": "user", "content": prompt}],
+    })
+    .to_string();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: chat\r\nReq-Deadline: 10\r\n\
+         Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    (id, stream)
+}
+
+/// Reads an answer to its end, and takes the chunk framing off.
+pub fn read(id: String, prompt: &str, tokens: usize, stream: &mut TcpStream) -> Seen {
+    let mut bytes = Vec::new();
+    let end = stream.read_to_end(&mut bytes);
+    let (prompt, usage) = (prompt.to_string(), true);
+    let seen = |outcome, body| Seen { id, prompt, tokens, usage, outcome, body };
+    let Some(head) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else {
+        return seen(Outcome::Never, Vec::new());
+    };
+    let status = String::from_utf8_lossy(&bytes[9..12]).parse().unwrap_or(0);
+    if status != 200 {
+        return seen(Outcome::Refused(status), Vec::new());
+    }
+    let (mut rest, mut body, mut last) = (&bytes[head + 4..], Vec::new(), false);
+    while let Some(line) = rest.windows(2).position(|w| w == b"\r\n") {
+        let size = usize::from_str_radix(&String::from_utf8_lossy(&rest[..line]), 16).unwrap();
+        if size == 0 {
+            last = true;
+            break;
+        }
+        let Some(chunk) = rest.get(line + 2..line + 2 + size) else { break };
+        body.extend_from_slice(chunk);
+        rest = rest.get(line + 4 + size..).unwrap_or_default();
+    }
+    let told = String::from_utf8_lossy(&body).contains("data: {\"error\"");
+    let outcome = match (last, told, end.is_ok()) {
+        (true, ..) => Outcome::Whole,
+        (_, true, true) => Outcome::Told,
+        (_, _, true) => Outcome::Cut,
+        _ => Outcome::Never,
+    };
+    seen(outcome, body)
+}
+
+/// Asks so many times from a few threads; prompts are made from the number.
+pub fn run(
+    node: &Node,
+    threads: usize,
+    count: usize,
+    tokens: usize,
+    prompt: impl Fn(usize) -> String + Sync,
+) -> Vec<Seen> {
+    let next = AtomicU64::new(0);
+    std::thread::scope(|scope| {
+        let work = || {
+            let mut seen = Vec::new();
+            loop {
+                let n = next.fetch_add(1, Ordering::Relaxed) as usize;
+                if n >= count {
+                    return seen;
+                }
+                let prompt = prompt(n);
+                let (id, mut stream) = ask(node, &prompt, tokens);
+                seen.push(read(id, &prompt, tokens, &mut stream));
+            }
+        };
+        let threads: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+        threads.into_iter().flat_map(|t| t.join().unwrap()).collect()
+    })
+}
