Try replicas whose streams break less often; show how streams fare; measure both

Each trial of a replica whose streams break costs a client its answer, and came every 0.7 s. The pause now doubles with each up to 5.6 s and ends with the first whole stream. The log has states, ends and gaps of each replica's streams, also at a node's end, and `poppykeel streams` shows them. A list service that stays away is complained of once. New tests: a drain in the middle of a continuation, a deadline that passes, answers on two connections, events after the end, a reader that stops while 30 MB flow, the shown log.

--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -85,6 +85,8 @@
     Repeat(usize),
     /// After the end come more events.
     GoOn,
+    /// The answer comes on its connection, and on another one too, where this server has one that is idle.
+    Twice,
     /// This status, without a stream.
     Status(u16),
     /// Nothing at all.
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -3,17 +3,19 @@
 use crate::answer::{plan, Ask, Step};
 use crate::script::{Fault, Script};
 use socket2::SockRef;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::Error;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 /// The longest head and body that are read, in bytes.
 const MOST_REQUEST: usize = 512 * 1024;
+/// Pieces that nobody asked for and that wait to be written on one connection.
+const UNASKED: usize = 64;
 /// Requests that are recorded; further ones are only counted.
 const MOST_RECORDS: usize = 200_000;
 
@@ -43,6 +45,10 @@
     /// Prompts that a rule for first requests has befallen.
     befallen: BTreeSet<String>,
     answers: u64,
+    /// Connections that wait for a request, by server and number: what is sent there is written, asked or not.
+    idle: BTreeMap<(usize, u64), mpsc::Sender<Vec<u8>>>,
+    connections: u64,
+    unasked: u64,
 }
 
 /// Running stand-ins; dropping them ends them.
@@ -75,6 +81,9 @@
             records: Vec::new(),
             befallen: BTreeSet::new(),
             answers: 0,
+            idle: BTreeMap::new(),
+            connections: 0,
+            unasked: 0,
         }));
         let (end, ended) = oneshot::channel();
         let own = shared.clone();
@@ -106,6 +115,11 @@
     pub fn records(&self) -> Vec<Record> {
         lock(&self.shared).records.clone()
     }
+
+    /// Answers that were also written where nobody had asked.
+    pub fn unasked(&self) -> u64 {
+        lock(&self.shared).unasked
+    }
 }
 
 async fn accept(server: usize, listener: TcpListener, shared: Arc<Mutex<Shared>>) {
@@ -137,23 +151,50 @@
     Some((end, length, find("req-id").unwrap_or_default(), request.path.unwrap_or_default().to_string()))
 }
 
+/// Takes a connection off the list of idle ones once it ends.
+struct Idle<'a> {
+    shared: &'a Mutex<Shared>,
+    key: (usize, u64),
+}
+
+impl Drop for Idle<'_> {
+    fn drop(&mut self) {
+        lock(self.shared).idle.remove(&self.key);
+    }
+}
+
 async fn connection(server: usize, mut stream: TcpStream, shared: &Mutex<Shared>) -> Result<(), Error> {
     stream.set_nodelay(true)?;
     let mut held = Vec::new();
     let mut piece = vec![0; 16 * 1024];
+    let (unasked, mut told) = mpsc::channel(UNASKED);
+    let number = {
+        let mut shared = lock(shared);
+        shared.connections += 1;
+        shared.connections
+    };
+    let _idle = Idle { shared, key: (server, number) };
     loop {
+        lock(shared).idle.insert((server, number), unasked.clone());
         let (end, length, id, path) = loop {
             match head(&held) {
                 Some(head) if held.len() >= head.0 + head.1 => break head,
                 _ if held.len() > MOST_REQUEST => return Ok(()),
                 _ => {}
             }
-            let size = stream.read(&mut piece).await?;
+            let size = tokio::select! {
+                size = stream.read(&mut piece) => size?,
+                Some(bytes) = told.recv() => {
+                    stream.write_all(&bytes).await?;
+                    continue;
+                }
+            };
             if size == 0 {
                 return Ok(());
             }
             held.extend_from_slice(&piece[..size]);
         };
+        lock(shared).idle.remove(&(server, number));
         let body: Vec<u8> = held.drain(..end + length).skip(end).collect();
         if path != "/v1/chat/completions" {
             stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}").await?;
@@ -165,6 +206,8 @@
     }
 }
 
+const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// Carries one plan out; false where the connection ends with it.
 async fn answer(
     server: usize,
@@ -173,7 +216,7 @@
     body: &[u8],
     shared: &Mutex<Shared>,
 ) -> Result<bool, Error> {
-    let (plan, place) = {
+    let (plan, place, other) = {
         let mut shared = lock(shared);
         shared.answers += 1;
         let script = shared.scripts[server].clone();
@@ -181,13 +224,16 @@
         let Shared { fits, befallen, .. } = &mut *shared;
         let fault = fault(&script, &ask, &mut fits[server], befallen);
         let plan = plan(&ask, &format!("stand-in-{server}-{}", shared.answers), &script, fault.as_ref());
+        let mut others = shared.idle.range((server, 0)..=(server, u64::MAX));
+        let other = others.next().filter(|_| fault == Some(Fault::Twice)).map(|(_, other)| other.clone());
         let place = (shared.records.len() < MOST_RECORDS).then_some(shared.records.len());
         if place.is_some() {
             let (prompt, done, tokens) = (ask.prompt, ask.done, plan.tokens);
             let id = id.to_string();
             shared.records.push(Record { server, id, prompt, done, tokens, written: 0, whole: false });
         }
-        (plan, place)
+        shared.unasked += u64::from(other.is_some());
+        (plan, place, other)
     };
     let note = |written: usize, whole: bool| {
         let mut shared = lock(shared);
@@ -207,9 +253,10 @@
             Step::Wait(span) => wait(stream, span).await?,
             Step::Send(bytes) => {
                 if !std::mem::replace(&mut begun, true) {
-                    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-                    stream.write_all(head.as_bytes()).await?;
+                    stream.write_all(HEAD.as_bytes()).await?;
+                    other.iter().for_each(|o| drop(o.try_send(HEAD.into())));
                 }
+                other.iter().for_each(|o| drop(o.try_send(bytes.clone())));
                 stream.write_all(&bytes).await?;
                 note(bytes.len(), false);
             }
--- a/crates/streams/src/health.rs
+++ b/crates/streams/src/health.rs
@@ -89,10 +89,12 @@
 
     /// The long gap: nearly all are shorter. None while there are few.
     pub fn long(&self) -> Option<Micros> {
-        if self.total < FEW {
-            return None;
-        }
-        let mut beyond = self.total * (1.0 - PART);
+        self.at(PART).filter(|_| self.total >= FEW)
+    }
+
+    /// The gap that this part of all gaps (0 to 1) does not exceed, to a step of the ladder; none without any gap.
+    pub fn at(&self, part: f64) -> Option<Micros> {
+        let mut beyond = self.total * (1.0 - part);
         for (n, weight) in self.steps.iter().enumerate().rev() {
             beyond -= f64::from(*weight);
             if beyond < 0.0 {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,6 +64,8 @@
 const EJECT_AFTER: u32 = 3;
 /// An ejected replica gets one trial in this time; one that said "full" is left alone as long.
 const PAUSE: Seconds = 0.7;
+/// A trial of one whose streams break costs a client its answer: the pause doubles with each, up to so often.
+const MOST_DOUBLINGS: u32 = 3;
 /// An allowance may be saved up to so many requests, or a second's: its even part may be less than one.
 const SHARE_DEPTH: f64 = 8.0;
 /// An even part is widened by this, since the front does not spread clients evenly over routers and zones.
@@ -404,8 +406,9 @@
         r.own_unread += unread;
         r.cold_credit -= work;
         if Self::ejected(r) {
-            // Half-open: one trial, then the next pause runs.
-            r.paused_until = self.now + PAUSE;
+            // Half-open: one trial, then the next pause runs, longer the more streams have broken in a row.
+            let longer = r.broken.saturating_sub(EJECT_AFTER).min(MOST_DOUBLINGS);
+            r.paused_until = self.now + PAUSE * f64::from(1 << longer);
         }
     }
 
@@ -478,7 +481,10 @@
         }
         match outcome {
             Outcome::Served => {
-                self.replicas.entry(replica).and_modify(|r| r.broken = 0);
+                if let Some(r) = self.replicas.get_mut(&replica).filter(|r| r.broken > 0) {
+                    r.paused_until = if Self::ejected(r) { self.now } else { r.paused_until };
+                    r.broken = 0;
+                }
                 self.learned.hold_time += LEARN * (self.now - sent - self.learned.hold_time);
                 self.alive(replica, true);
             }
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -5,6 +5,7 @@
 mod log;
 mod resolve;
 pub mod serve;
+mod streams;
 
 use clap::{Args, Parser, Subcommand};
 use files::{OperatorFile, Over};
@@ -27,6 +28,8 @@
     Check(Check),
     /// Ask each source of servers and show what it says and the list that follows, with reasons
     Resolve(resolve::Resolve),
+    /// Show how streams fare, from a node's log in JSON
+    Streams(streams::Streams),
     /// Print the version
     Version,
 }
@@ -97,6 +100,7 @@
             Ok(false) => return ExitCode::FAILURE,
             Err(e) => Err(e),
         },
+        Command::Streams(streams) => streams.run(),
         Command::Version => {
             println!("poppykeel {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, LocalSet};
 
 /// Messages that wait for the core; drivers that tell more wait themselves.
@@ -121,6 +121,10 @@
     while shared.open() > 0 {
         tokio::time::sleep(LOOK).await;
     }
+    let (done, summed) = oneshot::channel();
+    if tell.send(Message::SumUp(done)).await.is_ok() {
+        let _ = summed.await;
+    }
     tracing::info!(node = %config.name, "done");
     Ok(())
 }
--- a/src/routing/directory.rs
+++ b/src/routing/directory.rs
@@ -28,6 +28,7 @@
 
 #[derive(Clone, Debug)]
 struct Known {
+    name: String,
     addr: SocketAddr,
     started_ms: i64,
     listing: Listing,
@@ -75,6 +76,11 @@
         self.known.get(&id).map(|k| k.addr)
     }
 
+    /// A replica's name in the account.
+    pub fn name(&self, id: ReplicaId) -> Option<&str> {
+        self.known.get(&id).map(|k| k.name.as_str())
+    }
+
     /// The account itself.
     pub fn members(&self) -> &Membership {
         &self.members
@@ -128,8 +134,8 @@
                     continue;
                 }
             } else {
-                let addr = server.entry.addr;
-                self.known.insert(id, Known { addr, started_ms, listing: listing.clone() });
+                let (addr, name, listing) = (server.entry.addr, server.name.clone(), listing.clone());
+                self.known.insert(id, Known { name, addr, started_ms, listing });
             }
             list.push(Changed { listing, name: server.name });
         }
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -8,7 +8,7 @@
 use crate::protocol::request;
 use futures_util::{SinkExt, StreamExt};
 use poppykeel_membership::Told;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -29,14 +29,16 @@
     /// The list is a source of this node.
     enabled: Rc<Cell<bool>>,
     version: Rc<Cell<u64>>,
+    /// Why the last call failed, where it did.
+    lately: Rc<RefCell<Option<String>>>,
 }
 
 impl Watch {
     /// A watch that has not begun.
     pub fn new(addr: SocketAddr, bounds: Rc<Bounds>, tell: mpsc::Sender<Message>) -> Self {
-        let (moved, running, version) = Default::default();
+        let (moved, running, version, lately) = Default::default();
         let enabled = Rc::new(Cell::new(true));
-        Watch { addr: Rc::new(Cell::new(addr)), moved, bounds, tell, running, enabled, version }
+        Watch { addr: Rc::new(Cell::new(addr)), moved, bounds, tell, running, enabled, version, lately }
     }
 
     /// The list that the node has now.
@@ -89,6 +91,9 @@
             };
             match call {
                 Ok(Ok(update)) => {
+                    if self.lately.replace(None).is_some() {
+                        tracing::info!(source = LIST, "told again");
+                    }
                     tracing::debug!(source = LIST, version = update.version(), "told");
                     // The version is set before the next call goes out, whenever the core gets to it.
                     self.version.set(update.version());
@@ -101,7 +106,10 @@
                 Err(_) => break "no answer in time".to_string(),
             }
         };
-        tracing::warn!(source = LIST, why, "no list");
+        // A service that stays away is asked again and again, and complained of once.
+        if self.lately.replace(Some(why.clone())).as_ref() != Some(&why) {
+            tracing::warn!(source = LIST, why, "no list");
+        }
         self.running.set(false);
         let _ = self.tell.send(Message::Told { source: LIST, told: Told::Failed }).await;
     }
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -107,6 +107,11 @@
                 self.clients.insert(arrival.id, Client { payload: Rc::new(payload), token_aim, answer });
                 Input::Arrived(arrival)
             }
+            Message::SumUp(done) => {
+                self.sum_up();
+                let _ = done.send(());
+                return;
+            }
             Message::First { request, attempt, content_type, replica, body } => {
                 self.offered = Some((content_type, replica, body));
                 Input::First { request, attempt }
@@ -166,18 +171,7 @@
             ends = ?c.ends,
             "summary"
         );
-        let s = self.upstream.streams.counts();
-        tracing::info!(
-            whole = s.whole,
-            stalled = s.stalled,
-            broken = s.broken,
-            continued = s.continued,
-            saved = s.saved,
-            completed = s.completed,
-            failed = s.failed,
-            dropped = s.dropped,
-            "streams"
-        );
+        self.upstream.streams.log(|replica| self.directory.name(replica).map(String::from));
     }
 
     fn carry_out(&mut self, now: Micros) {
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -69,6 +69,8 @@
     },
     /// New settings of the account of membership.
     Members(Members),
+    /// The log is to say what has happened so far; answered once it has.
+    SumUp(oneshot::Sender<()>),
 }
 
 /// The name of discovery's list as a source.
--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -78,9 +78,8 @@
     pub fn whole(&mut self) -> bool {
         let story = &self.story;
         let whole = story.progress() == Progress::Done || story.closed().is_some() || !story.known();
-        if whole {
-            let saved = self.tries > 0;
-            self.streams.count(|c| if saved { c.saved += 1 } else { c.whole += 1 });
+        if whole && self.tries > 0 {
+            self.streams.count(|c| c.saved += 1);
         }
         whole
     }
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -3,7 +3,7 @@
 
 use super::messages::{Message, Payload, Piece};
 use super::pool::{Conn, NoConn, Peer, Pool};
-use super::streams::Streams;
+use super::streams::{Live, Streams};
 use super::Bounds;
 use crate::interface::{Outcome, ReplicaId, Report, RequestId};
 use crate::protocol::answer::{Answer, Step};
@@ -14,7 +14,6 @@
 use crate::wire::Boot;
 use bytes::{Buf, Bytes};
 use futures_util::{SinkExt, StreamExt};
-use poppykeel_streams::Health;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -95,18 +94,17 @@
         let mut steps = Vec::new();
         let mut keep = false;
         let mut to_client = None;
-        let mut health: Option<Health> = None;
+        let mut live: Option<Live> = None;
         loop {
             let next = conn.wire.next();
-            let silence =
-                health.as_ref().and_then(Health::due).map(|due| due.saturating_sub(self.streams.now()));
+            let silence = live.as_ref().and_then(Live::patience);
             let part = match silence {
                 Some(silence) => match tokio::time::timeout(Duration::from_micros(silence), next).await {
                     Ok(part) => part,
                     // A replica that vanished leaves its connections open and quiet: its client must
                     // not be left waiting with it.
                     Err(_) => {
-                        self.streams.gave_up(job.peer.0, silence);
+                        live.iter().for_each(|l| l.gave_up(silence));
                         return (Outcome::TimedOut, None, None);
                     }
                 },
@@ -114,9 +112,7 @@
             };
             match part {
                 Some(Ok(part)) => {
-                    if let Some(health) = &mut health {
-                        self.streams.event(job.peer.0, health);
-                    }
+                    live.iter().for_each(Live::event);
                     if let Part::Head(head) = &part {
                         keep = head.keep;
                         let (request, attempt, from) = (job.request, job.attempt, job.peer.1);
@@ -133,7 +129,7 @@
                         to_client = Some(sender);
                         let (request, attempt) = (job.request, job.attempt);
                         let replica = job.peer.0;
-                        health = Some(self.streams.begin(replica, job.token_aim));
+                        live = Some(self.streams.begin(replica, job.token_aim));
                         let first = Message::First { request, attempt, content_type, replica, body };
                         let _ = self.tell.send(first).await;
                     }
@@ -141,9 +137,9 @@
                         let Some(sender) = &to_client else { continue };
                         if let Err(TrySendError::Full(piece)) = sender.try_send(Piece::Bytes(bytes)) {
                             // The reader does not keep up: the silence that follows is not the replica's.
-                            health.iter_mut().for_each(|h| h.reader_waits(self.streams.now()));
+                            live.iter().for_each(Live::reader_waits);
                             let _ = sender.send(piece).await;
-                            health.iter_mut().for_each(|h| h.reader_took(self.streams.now()));
+                            live.iter().for_each(Live::reader_took);
                         }
                     }
                     Step::Done(outcome, report) => {
@@ -151,8 +147,8 @@
                             let _ = sender.send(Piece::End).await;
                         }
                         let broken = matches!(outcome, Outcome::Reset);
-                        if broken && to_client.is_some() {
-                            self.streams.count(|c| c.broken += 1);
+                        if broken || outcome == Outcome::Served {
+                            live.iter().for_each(|l| l.ended(!broken));
                         }
                         return (outcome, report, Some(conn).filter(|_| keep && !broken));
                     }
