--- a/crates/lab/src/emulator/measure.rs
+++ b/crates/lab/src/emulator/measure.rs
@@ -9,7 +9,7 @@
 /// Pieces that a run's time is cut into.
 pub const PIECES: usize = 120;
 /// Rows of the heat map at most; more servers than that share rows.
-pub const ROWS: usize = 64;
+pub const ROWS: usize = 32;
 /// The parts of values that are told.
 pub const PARTS: [f64; 7] = [0.1, 0.5, 0.9, 0.95, 0.99, 0.999, 1.0];
 
--- a/crates/lab/src/emulator/policies.rs
+++ b/crates/lab/src/emulator/policies.rs
@@ -194,10 +194,10 @@
                     self.peers.push(Peer { id, up, in_flight, reported, failures, alone_until });
                     let seed = mix(place as u64 + 1);
                     self.ring.extend((0..POINTS).map(|n| (mix(seed ^ mix(n + 77)), place)));
-                    self.ring.sort_unstable();
                 }
             }
         }
+        self.ring.sort_unstable();
     }
 
     fn free(&mut self, request: RequestId) -> Option<usize> {
--- a/crates/lab/src/report/plots.rs
+++ b/crates/lab/src/report/plots.rs
@@ -221,6 +221,22 @@
     })
 }
 
+/// Shades for a load: a step for each eighth of the slots, up to twice as much.
+fn shade(load: f32) -> u32 {
+    (f64::from(load) * 8.0).round().min(16.0) as u32
+}
+
+/// White is idle, dark blue is all slots, red is twice as much.
+fn colour_of(level: u32) -> RGBColor {
+    let load = f64::from(level) / 8.0;
+    if load <= 1.0 {
+        let light = |to: f64| (255.0 - (255.0 - to) * load) as u8;
+        return RGBColor(light(30.0), light(70.0), light(150.0));
+    }
+    let more = load - 1.0;
+    RGBColor((30.0 + 190.0 * more) as u8, (70.0 - 30.0 * more) as u8, (150.0 - 110.0 * more) as u8)
+}
+
 /// Requests that servers held, over their slots: rows of servers, columns of time.
 pub(super) fn heat(outcome: &Outcome) -> Result<String, String> {
     let (rows, end) = (outcome.heat.len() as f64, outcome.piece_s * PIECES as f64);
@@ -233,24 +249,20 @@
             .map_err(failed)?;
         chart.configure_mesh().disable_mesh().x_desc("seconds").y_desc("servers").draw().map_err(failed)?;
         for (row, pieces) in outcome.heat.iter().enumerate() {
-            // White is idle, dark blue is all slots, red is twice as much.
-            let tiles = pieces.iter().enumerate().filter(|p| *p.1 > 0.01).map(|(n, load)| {
-                let (from, load) = (n as f64 * outcome.piece_s, f64::from(*load));
-                let shade = if load <= 1.0 {
-                    let light = |to: f64| (255.0 - (255.0 - to) * load) as u8;
-                    RGBColor(light(30.0), light(70.0), light(150.0))
-                } else {
-                    let more = (load - 1.0).min(1.0);
-                    RGBColor(
-                        (30.0 + 190.0 * more) as u8,
-                        (70.0 - 30.0 * more) as u8,
-                        (150.0 - 110.0 * more) as u8,
-                    )
-                };
-                let corner = (from + outcome.piece_s, row as f64 + 1.0);
-                Rectangle::new([(from, row as f64), corner], shade.filled())
-            });
-            chart.draw_series(tiles).map_err(failed)?;
+            // Neighbours of one shade are one tile: a page has hundreds of such maps.
+            let mut from = 0;
+            let mut tiles = Vec::new();
+            for n in 1..=pieces.len() {
+                if n == pieces.len() || shade(pieces[n]) != shade(pieces[from]) {
+                    let across = [from, n].map(|n| n as f64 * outcome.piece_s);
+                    tiles.push((across, shade(pieces[from])));
+                    from = n;
+                }
+            }
+            let tile = |([from, to], level): ([f64; 2], u32)| {
+                Rectangle::new([(from, row as f64), (to, row as f64 + 1.0)], colour_of(level).filled())
+            };
+            chart.draw_series(tiles.into_iter().filter(|t| t.1 > 0).map(tile)).map_err(failed)?;
         }
         let marks = outcome.faults.iter().flat_map(|f| {
             let (_, from, to) = span(f);
@@ -272,10 +284,10 @@
         return Ok(None);
     }
     let last = labels.len() as f64 - 0.5;
-    let svg = draw((1140, 380), |area| {
+    let svg = draw((1140, 440), |area| {
         let mut chart = ChartBuilder::on(area)
             .margin(8)
-            .x_label_area_size(90)
+            .x_label_area_size(150)
             .y_label_area_size(48)
             .build_cartesian_2d(-0.5..last, 0.0..105.0)
             .map_err(failed)?;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -337,8 +337,12 @@
         let session = arrival.session.unwrap_or(arrival.id.0);
         let fit = self.replicas.iter().filter(|(id, r)| will_do(id, r));
         let mut order: Vec<(u64, ReplicaId)> = fit.map(|(id, r)| (self.rank(session, r), *id)).collect();
+        if order.len() > DRAWN {
+            // Of thousands only these are wanted: no need to sort the others.
+            order.select_nth_unstable(DRAWN);
+            order.truncate(DRAWN);
+        }
         order.sort_unstable();
-        order.truncate(DRAWN);
         order.into_iter().map(|place| place.1).collect()
     }
 
