Give cold servers their part of the fleet's traffic and let pools follow warm servers

Calls for the list were ruled out: 100 in the first 4 s, then none but the watches. No 'full', no failed connect.

Lines at fault, in src/brain.rs: relist() began a cold replica with a debt in cost (prompt and answer limit), tick() paid it off in work (unread tokens) at the router's own rate, a request in 20 s for each server; has_room() and any_room() put cold replicas behind the pool, which was full of requests at warm ones; the pool learned of 24 lost servers only by late answers, 1.5% each.

Now the budget is counted in requests, from the tenants' allowance over servers and routers; cold replicas stand beside the pool, and the pool keeps its part for each warm replica.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,8 +64,14 @@
 const EJECT_AFTER: u32 = 3;
 /// An ejected replica gets one trial in this time; one that said "full" is left alone as long.
 const PAUSE: Seconds = 0.7;
+/// After a silence longer than this a replica may have been started anew.
+const LONG_SILENCE: Seconds = 2.0;
 /// A trial of one whose streams break costs a client its answer: the pause doubles with each, up to so often.
 const MOST_DOUBLINGS: u32 = 3;
+/// Departure: a cold replica gets this many times its part of what the tenants may send; without an allowance
+/// of theirs it follows this router's own traffic.
+const COLD_PUSH: f64 = 1.0;
+const NO_ALLOWANCE: f64 = 1e9;
 /// An allowance may be saved up to so many requests, or a second's: its even part may be less than one.
 const SHARE_DEPTH: f64 = 8.0;
 /// An even part is widened by this, since the front does not spread clients evenly over routers and zones.
@@ -163,7 +169,7 @@
 
     /// Requests that may be out together as things stand, and that are, for the log.
     pub fn window(&self) -> (f64, usize) {
-        (self.pool.size, self.pool.in_flight)
+        (self.pool.size, self.pool_in_flight())
     }
 
     /// Requests held, by tenant, for the log.
@@ -187,16 +193,19 @@
             r.listed(&entry);
             if born.is_some() && born > r.cold_since {
                 // Rule 4: all routers hear of a start at once; first sends at once pushed it over.
-                r.restart(born, -self.learned.quantum * self.rng.rand_float());
+                r.restart(born, -self.rng.rand_float());
             }
         }
         // Replicas are replaced all day long: what has gone and owes nothing must not stay behind.
         self.replicas.retain(|_, r| !r.gone || r.in_flight > 0);
-        self.pool.up = self.replicas.values().filter(|r| r.up).count();
-        if self.pool.fresh {
-            let first = FIRST_POOL * self.pool.up as f64 / self.settings.routers as f64;
-            self.pool.size = self.pool.size.max(first);
-        }
+        self.pool.most_up = self.pool.most_up.max(self.replicas.values().filter(|r| r.up).count());
+        self.resize();
+    }
+
+    /// The pool follows the warm replicas at once: a router that sends little would learn it too late.
+    fn resize(&mut self) {
+        let warm = self.replicas.values().filter(|r| r.up && !self.cold(r)).count();
+        self.pool.resize(warm, FIRST_POOL / self.settings.routers as f64);
     }
 
     fn arrive(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
@@ -313,17 +322,30 @@
         r.silent_since.is_some() || r.failures >= EJECT_AFTER || r.broken >= EJECT_AFTER
     }
 
-    fn has_room(&self, r: &Replica) -> bool {
+    fn cold(&self, r: &Replica) -> bool {
+        r.warmth(&self.settings.rules, self.now) < 1.0
+    }
+
+    /// Departure: what a cold replica may get is bounded by time; the pool is for the warm ones.
+    fn has_room(&self, r: &Replica, pooled: bool) -> bool {
         let open = self.now >= r.paused_until || (self.most_ejected && r.silent_since.is_none());
-        let warm_enough = r.cold_credit > 0.0 || r.warmth(&self.settings.rules, self.now) >= 1.0;
-        let window = (WINDOW_PARTS * self.pool.size / self.pool.up.max(1) as f64).max(LEAST_WINDOW);
-        r.up && open && warm_enough && (r.in_flight as f64) < window.floor()
+        let allowed = if self.cold(r) { r.cold_credit > 0.0 } else { pooled };
+        let window = (WINDOW_PARTS * self.pool.size / self.pool.warm.max(1) as f64).max(LEAST_WINDOW);
+        r.up && open && allowed && (r.in_flight as f64) < window.floor()
     }
 
-    fn any_room(&self, tier: usize) -> bool {
+    fn pool_in_flight(&self) -> usize {
+        self.replicas.values().filter(|r| r.up && !self.cold(r)).map(|r| r.in_flight).sum()
+    }
+
+    fn pool_free(&self, tier: usize) -> bool {
         let part = if self.backlog.tiers[tier].spare { SPARE_PART } else { 1.0 };
-        let free = (self.pool.in_flight as f64) < (self.pool.size * part).max(1.0);
-        free && self.replicas.values().any(|r| self.has_room(r))
+        (self.pool_in_flight() as f64) < (self.pool.size * part).max(1.0)
+    }
+
+    fn any_room(&self, tier: usize) -> bool {
+        let pooled = self.pool_free(tier);
+        self.replicas.values().any(|r| self.has_room(r, pooled))
     }
 
     /// Prompt tokens that will be read at `r` before a request sent now, without its own.
@@ -364,7 +386,8 @@
     fn draw(&mut self, id: RequestId) -> Option<Attempt> {
         let request = &self.requests[&id];
         let home = self.homes(&request.arrival).first().copied();
-        let open = |_: &ReplicaId, r: &Replica| self.has_room(r) && self.may_go(request, r);
+        let pooled = self.pool_free(request.tier);
+        let open = |_: &ReplicaId, r: &Replica| self.has_room(r, pooled) && self.may_go(request, r);
         let tried = |to: &ReplicaId| request.attempts.iter().any(|a| a.replica == *to);
         let mut order = self.order(&request.arrival, |to, r| open(to, r) && !tried(to));
         if order.is_empty() {
@@ -411,14 +434,11 @@
         request.attempts.push(attempt);
         out.push(Action::Send { request: id, replica, timeout: request.deadline - self.now });
         self.learned.released.add(self.now, request.cost);
-        // Work, not cost: a cold replica must read all that warm ones have kept.
-        let work = unread + BASE_TOKENS;
-        self.learned.worked.add(self.now, work);
-        self.pool.in_flight += 1;
+        self.learned.sent.add(self.now, 1.0);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
         r.in_flight += 1;
         r.own_unread += unread;
-        r.cold_credit -= work;
+        r.cold_credit -= 1.0;
         if Self::ejected(r) {
             // Half-open: one trial, then the next pause runs, longer the more streams have broken in a row.
             let longer = r.broken.saturating_sub(EJECT_AFTER).min(MOST_DOUBLINGS);
@@ -452,7 +472,7 @@
             if elapsed > held {
                 self.pool.cut(POOL_CUT);
             }
-        } else if elapsed <= late / 2.0 && self.pool.in_flight as f64 * 2.0 >= self.pool.size {
+        } else if elapsed <= late / 2.0 && self.pool_in_flight() as f64 * 2.0 >= self.pool.size {
             self.pool.grow(POOL_GROWTH);
         }
         self.alive(replica, true);
@@ -463,9 +483,11 @@
         r.life = self.now;
         // A probe shows that the process runs; whether requests fail there only requests can show.
         r.failures = if works { 0 } else { r.failures };
-        if r.silent_since.take().is_some() {
-            // Rule 4, in spirit: a replica back from silence may have restarted, whatever the list says.
-            r.restart(Some(self.now), -self.learned.quantum * self.rng.rand_float());
+        if let Some(since) = r.silent_since.take() {
+            // Rule 4, in spirit: a replica back from silence may have restarted, whatever the list says; one
+            // that was only slow has not, and is no less warm for it.
+            let cold = if self.now - since > LONG_SILENCE { Some(self.now) } else { r.cold_since };
+            r.restart(cold, -self.rng.rand_float());
         }
     }
 
@@ -490,7 +512,6 @@
         let Some((replica, sent, unread)) = ended else { return };
         if let Some(r) = self.replicas.get_mut(&replica) {
             r.in_flight = r.in_flight.saturating_sub(1);
-            self.pool.in_flight -= 1;
             r.own_unread = (r.own_unread - unread).max(0.0);
         }
         match outcome {
@@ -504,30 +525,22 @@
             }
             Outcome::Full => {
                 // What was turned away is no measure of what a warm replica bears: rule 4 rests on that.
-                self.learned.worked.add(self.now, -(unread + BASE_TOKENS));
+                self.learned.sent.add(self.now, -1.0);
                 self.pool.cut(POOL_CUT);
                 if let Some(r) = self.replicas.get_mut(&replica) {
                     (r.paused_until, r.life) = (r.paused_until.max(self.now + PAUSE), self.now);
                 }
             }
-            Outcome::TimedOut => {
-                self.pool.cut(POOL_CUT);
-                if streaming {
-                    self.broke(replica, sent);
-                }
-            }
-            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
-                if streaming {
+            Outcome::TimedOut | Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
+                if streaming || outcome == TimedOut {
                     // A broken stream is a sign of load, as a time-out is.
                     self.pool.cut(POOL_CUT);
-                    self.broke(replica, sent);
                 }
-                let Some(r) = self.replicas.get_mut(&replica) else { return };
-                r.failures += 1;
-                if r.failures == EJECT_AFTER {
-                    // A replica that fails at once frees room at once, and would draw every held request.
-                    r.paused_until = self.now + PAUSE;
+                if streaming {
+                    self.broke(replica, sent);
                 }
+                let failed = self.replicas.get_mut(&replica).filter(|_| outcome != TimedOut);
+                failed.into_iter().for_each(|r| r.failed(self.now, EJECT_AFTER, PAUSE));
             }
             Outcome::Rejected => self.alive(replica, false),
             Outcome::Cancelled | Outcome::Moot => {}
@@ -621,13 +634,18 @@
             }
         }
         let up = self.replicas.values().filter(|r| r.up);
-        self.most_ejected = 2 * up.clone().filter(|r| Self::ejected(r)).count() > self.pool.up;
-        let warm = up.filter(|r| r.warmth(&self.settings.rules, self.now) >= 1.0).count().max(1);
-        let rate = self.learned.worked.get(self.now) / warm as f64;
+        self.most_ejected = 2 * up.clone().filter(|r| Self::ejected(r)).count() > up.count();
+        self.resize();
+        // Rule 4: a cold replica gets what a warm one bears, by how warm it must be, and no burst. Among many
+        // routers the traffic of one tells little: what all tenants may send says it for the whole fleet.
+        let allowed = self.settings.tenants.iter().map(|t| t.allowance).sum::<f64>();
+        let rate = match allowed > 0.0 && allowed < NO_ALLOWANCE {
+            true => COLD_PUSH * allowed / (self.pool.most_up.max(1) * self.settings.routers) as f64,
+            false => self.learned.sent.get(self.now) / self.pool.warm.max(1) as f64,
+        };
         for (id, r) in &mut self.replicas {
-            // Rule 4: a cold replica gets its part of what this router sends to a warm one, and no burst.
             let credit = r.warmth(&self.settings.rules, self.now) * rate * TICK;
-            r.cold_credit = (r.cold_credit + credit).min(credit.max(1.0));
+            r.cold_credit = (r.cold_credit + credit).min(credit);
             if r.silent_since.is_some() && self.settings.limits.probes && r.up && self.now >= r.next_probe {
                 r.next_probe = self.now + PROBE_EVERY;
                 out.push(Action::Probe { replica: *id });
--- a/src/state.rs
+++ b/src/state.rs
@@ -109,7 +109,7 @@
     /// It has left the list.
     pub(crate) gone: bool,
     pub(crate) cold_since: Option<Seconds>,
-    /// What may still be sent while cold, in cost.
+    /// What may still be sent while cold, in requests.
     pub(crate) cold_credit: f64,
     pub(crate) in_flight: usize,
     pub(crate) reported: f64,
@@ -262,6 +262,15 @@
         self.paused_until = 0.0;
     }
 
+    /// Counts a failure in a row. A replica that fails at once frees room at once, and would draw every held
+    /// request: after so many it is paused.
+    pub(crate) fn failed(&mut self, now: Seconds, most: u32, pause: Seconds) {
+        self.failures += 1;
+        if self.failures == most {
+            self.paused_until = now + pause;
+        }
+    }
+
     /// The part of its capacity that the rules promise of it.
     pub(crate) fn warmth(&self, rules: &Rules, now: Seconds) -> f64 {
         let Some(since) = self.cold_since.filter(|_| rules.cold > 0.0) else { return 1.0 };
@@ -343,9 +352,9 @@
 pub(crate) struct Learned {
     /// Mean cost of a request.
     pub(crate) quantum: f64,
-    /// Cost released, and prompt tokens sent to be read, a second.
+    /// Cost released, and attempts sent, a second.
     pub(crate) released: Rate,
-    pub(crate) worked: Rate,
+    pub(crate) sent: Rate,
     /// Mean time from the send to the end of an answer.
     pub(crate) hold_time: Seconds,
     /// For each kind of replica, first tokens seen and their mean logarithm of time for a token read.
@@ -356,8 +365,8 @@
 
 impl Learned {
     pub(crate) fn new(horizon: Seconds) -> Self {
-        let (released, worked) = (Rate::new(horizon), Rate::new(horizon));
-        Learned { quantum: 0.0, released, worked, hold_time: 1.0, paces: BTreeMap::new(), typical: 0.0 }
+        let (released, sent) = (Rate::new(horizon), Rate::new(horizon));
+        Learned { quantum: 0.0, released, sent, hold_time: 1.0, paces: BTreeMap::new(), typical: 0.0 }
     }
 }
 
@@ -375,19 +384,27 @@
     }
 }
 
-/// What a router may have in flight at all replicas together, and has.
+/// What a router may have in flight at all warm replicas together.
 pub(crate) struct Pool {
     pub(crate) size: f64,
     /// It grows by whole requests until its first cut.
     pub(crate) fresh: bool,
-    pub(crate) in_flight: usize,
-    /// Replicas that the list says are up.
-    pub(crate) up: usize,
+    /// Warm replicas that it is for.
+    pub(crate) warm: usize,
+    /// The most replicas that were up at once.
+    pub(crate) most_up: usize,
 }
 
 impl Pool {
     pub(crate) fn new() -> Self {
-        Pool { size: 1.0, fresh: true, in_flight: 0, up: 0 }
+        Pool { size: 1.0, fresh: true, warm: 0, most_up: 0 }
+    }
+    /// Keeps its part for each warm replica, at first so many requests. Without any it stays as it is.
+    pub(crate) fn resize(&mut self, warm: usize, first: f64) {
+        if warm > 0 && warm != self.warm {
+            self.size = if self.warm == 0 { first } else { self.size / self.warm as f64 } * warm as f64;
+            self.warm = warm;
+        }
     }
     pub(crate) fn grow(&mut self, factor: f64) {
         self.size = if self.fresh { self.size + 1.0 } else { self.size * factor };
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -24,7 +24,7 @@
         routers: 1,
         zone: 0,
         classes: vec![class(5.0, Effect::Safe), class(1.0, Effect::Safe), class(1.0, Effect::Unsafe)],
-        tenants: vec![Tenant { share: 0.5, allowance: 1e6 }, Tenant { share: 0.5, allowance: 1e6 }],
+        tenants: vec![Tenant { share: 0.5, allowance: 1e9 }, Tenant { share: 0.5, allowance: 1e9 }],
         over_share_worth: 0.1,
         limits: Limits {
             probes: true,
@@ -956,3 +956,101 @@
         assert_eq!(actions, [Action::Fail { request: RequestId(n) }]);
     }
 }
+
+/// Many routers that share replicas, each with little traffic of its own: what shows only in the sum.
+struct Crowd {
+    rigs: Vec<Rig>,
+    next: u64,
+    /// Sends by replica.
+    sent: BTreeMap<ReplicaId, usize>,
+}
+
+impl Crowd {
+    /// 100 routers on so many warm replicas, whose tenants may send two requests a second for each of these.
+    fn new(replicas: usize) -> Crowd {
+        let rig = |me| {
+            let tenant = Tenant { share: 1.0, allowance: 2.0 * replicas as f64 };
+            let s = Settings { me, routers: 100, tenants: vec![tenant], ..settings() };
+            let mut rig = Rig::new(s.clone(), 0);
+            rig.brain = Brain::new(s, me as u64).unwrap();
+            rig.tell(Event::ListFull((0..replicas).map(|n| listing(n, ReplicaState::Up, None)).collect()));
+            rig
+        };
+        Crowd { rigs: (0..100).map(rig).collect(), next: 0, sent: BTreeMap::new() }
+    }
+    fn list(&mut self, list: Vec<Listing>) {
+        self.rigs.iter_mut().for_each(|r| drop(r.tell(Event::ListChanged(list.clone()))));
+    }
+    /// Lets so many seconds pass with `rate` requests a second in all; `first` gives a replica's time to its first
+    /// token. Answers end half a second later.
+    fn run(&mut self, seconds: Seconds, rate: f64, first: impl Fn(ReplicaId) -> Seconds) {
+        let mut due: BTreeMap<(u64, usize, u64), (Seconds, bool)> = BTreeMap::new();
+        let (mut owed, start) = (0.0, self.rigs[0].now);
+        while self.rigs[0].now < start + seconds {
+            owed += rate * 0.02;
+            let now = self.rigs[0].now + 0.02;
+            for (n, rig) in self.rigs.iter_mut().enumerate() {
+                rig.now = now;
+                let mut out = rig.tell(Event::Woke);
+                while owed >= 1.0 && (self.next % 100) as usize == n {
+                    (self.next, owed) = (self.next + 1, owed - 1.0);
+                    out.extend(rig.tell(Event::Arrived(request(self.next, 0, 0, 5.0))));
+                }
+                for (id, to) in sends(&out) {
+                    *self.sent.entry(to).or_default() += 1;
+                    due.insert((((now + first(to)) * 1e6) as u64, n, id), (first(to), true));
+                }
+            }
+            while let Some(entry) = due.first_entry().filter(|e| e.key().0 <= (now * 1e6) as u64) {
+                let ((at, n, id), (elapsed, starts)) = entry.remove_entry();
+                let event = if starts {
+                    due.insert((at + 500_000, n, id), (elapsed, false));
+                    Event::Started { request: RequestId(id), attempt: 0, elapsed }
+                } else {
+                    let (request, outcome) = (RequestId(id), Outcome::Served);
+                    Event::Ended { request, attempt: 0, outcome, last: true, report: None }
+                };
+                for (id, to) in sends(&self.rigs[n].tell(event)) {
+                    *self.sent.entry(to).or_default() += 1;
+                    due.insert((((now + first(to)) * 1e6) as u64, n, id), (first(to), true));
+                }
+            }
+        }
+    }
+    fn sent_to(&self, replicas: std::ops::Range<usize>) -> usize {
+        replicas.map(|n| self.sent.get(&replica(n)).copied().unwrap_or(0)).sum()
+    }
+}
+
+/// Guards against cold replicas left idle because each of many routers, by its own little traffic, waits too long,
+/// and against the sum of what many routers send them at once.
+#[test]
+fn many_routers_together_send_cold_replicas_their_part_and_no_more() {
+    let mut crowd = Crowd::new(16);
+    crowd.run(10.0, 30.0, |_| 0.1);
+    // Ten of the sixteen are replaced; their like bear two a second when warm, a tenth of it at the start.
+    let start = crowd.rigs[0].now;
+    let gone = (0..10).map(|n| listing(n, ReplicaState::Gone, None));
+    let new = (16..26).map(|n| listing(n, ReplicaState::Up, Some(start)));
+    crowd.list(gone.chain(new).collect());
+    // What is left is slow: requests wait for room.
+    let first = |to: ReplicaId| if (10..16).any(|n| replica(n) == to) { 2.0 } else { 0.3 };
+    crowd.run(1.0, 90.0, first);
+    let at_once = (16..26).map(|n| crowd.sent_to(n..n + 1)).max().unwrap();
+    assert!(at_once <= 3, "{at_once} to one of them in its first second");
+    crowd.run(9.0, 90.0, first);
+    // 2/s x (0.1 + 0.45 x t/10) over 10 s, for ten replicas: 65 in all.
+    let to_cold = crowd.sent_to(16..26);
+    assert!((40..=72).contains(&to_cold), "{to_cold}");
+}
+
+/// Guards against windows that many routers learn too late: replicas that go take their part of them along.
+#[test]
+fn the_pool_of_every_router_follows_the_warm_replicas() {
+    let mut rig = Rig::new(settings(), 8);
+    let before = rig.brain.window().0;
+    rig.tell(Event::ListChanged((0..6).map(|n| listing(n, ReplicaState::Draining, None)).collect()));
+    assert!((rig.brain.window().0 - before / 4.0).abs() < 1e-9, "{:?}", rig.brain.window());
+    rig.tell(Event::ListChanged((0..6).map(|n| listing(n, ReplicaState::Up, None)).collect()));
+    assert!((rig.brain.window().0 - before).abs() < 1e-9, "{:?}", rig.brain.window());
+}
