Ask both candidates and use idle servers where nodes outnumber servers

Probes asked, connections opened and retries were counted and ruled out (docs/fleet.md).

Lines at fault in src/brain.rs: ask_reports() asked only where no other reports exist, though with 100 nodes on 40 servers a report is 50 s old when it is used; has_room() knew no room but the pool's; draw() hardly weighed memory held.

Now, where there are more routers than replicas, both candidates are asked and a request waits for both answers or one tick; an idle replica has room beside the pool; pool steps grow with the rareness of answers. Memory held is weighed against the mean of its kind everywhere.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,6 +44,10 @@
 const REPORT_LIFE: Seconds = 3.0;
 /// A report older than this is asked for anew when a request may go there.
 const PROBE_EVERY: Seconds = 1.0;
+/// A replica that leaves a probe without an answer for longer than a tick counts as so much fuller.
+const NO_ANSWER: f64 = 10.0;
+/// Departure: who holds more memory than its kind on average runs more or is slower; it counts so much.
+const CROWD: f64 = 6.0;
 /// Departure: a session's next turn comes to any router, so each session has an order of replicas that all
 /// reckon alike. So many are asked for reports and drawn from; more lead turns away from what was read.
 const DRAWN: usize = 2;
@@ -68,10 +72,6 @@
 const LONG_SILENCE: Seconds = 2.0;
 /// A trial of one whose streams break costs a client its answer: the pause doubles with each, up to so often.
 const MOST_DOUBLINGS: u32 = 3;
-/// Departure: a cold replica gets this many times its part of what the tenants may send; without an allowance
-/// of theirs it follows this router's own traffic.
-const COLD_PUSH: f64 = 1.0;
-const NO_ALLOWANCE: f64 = 1e9;
 /// An allowance may be saved up to so many requests, or a second's: its even part may be less than one.
 const SHARE_DEPTH: f64 = 8.0;
 /// An even part is widened by this, since the front does not spread clients evenly over routers and zones.
@@ -159,8 +159,11 @@
                 if outcome == Outcome::Served {
                     self.alive(replica, false);
                 }
+                self.replicas.entry(replica).and_modify(|r| r.asked = false);
                 self.take_report(replica, report);
-                self.unpark();
+                if !self.replicas.values().any(|r| r.asked) {
+                    self.unpark();
+                }
             }
             Event::Woke => self.tick(out),
         }
@@ -182,6 +185,8 @@
         self.replicas.len()
     }
 
+    /// Departure: with more routers than replicas answers are rare. Each counts for more, reports are asked
+    /// for, and a replica that says it is idle has room beside the pool, which is too coarse.
     fn relist(&mut self, list: Vec<Listing>, full: bool) {
         if full {
             self.replicas.values_mut().for_each(|r| (r.up, r.gone) = (false, true));
@@ -199,6 +204,7 @@
         // Replicas are replaced all day long: what has gone and owes nothing must not stay behind.
         self.replicas.retain(|_, r| !r.gone || r.in_flight > 0);
         self.pool.most_up = self.pool.most_up.max(self.replicas.values().filter(|r| r.up).count());
+        self.pool.rare = (self.settings.routers as f64 / self.pool.most_up.max(1) as f64).max(1.0);
         self.resize();
     }
 
@@ -234,7 +240,8 @@
                 return out.push(Action::Refuse { request: id, retry_after });
             }
         }
-        let asked = time_left > 2.0 * TICK && self.ask_reports(&request.arrival, out);
+        let may_ask = self.settings.limits.probes && time_left > 2.0 * TICK;
+        let asked = may_ask && self.ask_reports(&request.arrival, out);
         self.requests.insert(id, request);
         match asked {
             true => self.parked.push(id),
@@ -249,16 +256,21 @@
     }
 
     fn ask_reports(&mut self, arrival: &Arrival, out: &mut Vec<Action>) -> bool {
-        let allowed = self.settings.reports == ReportSource::Probes && self.settings.limits.probes;
-        let stale = |id: &ReplicaId| allowed && self.now >= self.replicas[id].next_probe;
+        let (from, rare) = (self.settings.reports, self.pool.rare > 1.0);
+        let lacking = from == ReportSource::Probes || (from == ReportSource::Inline && rare);
+        let due = |r: &Replica| r.next_probe.max(r.reported_at + PROBE_EVERY);
+        let stale = |id: &ReplicaId| lacking && self.now >= due(&self.replicas[id]);
         let asked: Vec<ReplicaId> = self.homes(arrival).into_iter().filter(stale).collect();
-        for replica in &asked {
-            self.replicas.entry(*replica).and_modify(|r| r.next_probe = self.now + PROBE_EVERY);
-            out.push(Action::Probe { replica: *replica });
-        }
+        asked.iter().for_each(|replica| self.probe(*replica, out));
         !asked.is_empty()
     }
 
+    fn probe(&mut self, replica: ReplicaId, out: &mut Vec<Action>) {
+        let next = self.now + PROBE_EVERY;
+        self.replicas.entry(replica).and_modify(|r| (r.asked, r.next_probe) = (true, next));
+        out.push(Action::Probe { replica });
+    }
+
     fn within_share(&mut self, tenant: usize) -> bool {
         let part = |t: &Tenant| t.allowance * SHARE_SLACK / self.settings.routers as f64;
         let rate = self.settings.tenants.get(tenant).map_or(f64::INFINITY, part);
@@ -329,7 +341,10 @@
     /// Departure: what a cold replica may get is bounded by time; the pool is for the warm ones.
     fn has_room(&self, r: &Replica, pooled: bool) -> bool {
         let open = self.now >= r.paused_until || (self.most_ejected && r.silent_since.is_none());
-        let allowed = if self.cold(r) { r.cold_credit > 0.0 } else { pooled };
+        let idle = self.pool.rare > 1.0
+            && self.now < r.reported_at + PROBE_EVERY
+            && self.tokens_waiting(r) < SPARE_TOKENS;
+        let allowed = if self.cold(r) { r.cold_credit > 0.0 } else { pooled || idle };
         let window = (WINDOW_PARTS * self.pool.size / self.pool.warm.max(1) as f64).max(LEAST_WINDOW);
         r.up && open && allowed && (r.in_flight as f64) < window.floor()
     }
@@ -395,8 +410,7 @@
         }
         let spare = self.backlog.tiers[request.tier].spare;
         let (prompt, prefix) = (request.arrival.prompt_tokens, request.arrival.prefix_tokens);
-        let mut chosen = None;
-        let mut total = 0.0;
+        let (mut chosen, mut total) = (None, 0.0);
         for to in order {
             let r = &self.replicas[&to];
             let waiting = self.tokens_waiting(r);
@@ -405,6 +419,8 @@
             }
             let unread = prompt.saturating_sub(if home == Some(to) { prompt } else { prefix }) as f64;
             let ahead = (waiting * WAITING_SHARE + unread) / BASE_TOKENS;
+            let busy = CROWD * (r.memory_held / self.learned.held_of(r.kind) - 1.0).max(0.0);
+            let ahead = ahead + busy + if r.asked { NO_ANSWER } else { 0.0 };
             let free = 1.0 + LEAST_WEIGHT - r.memory_held.clamp(0.0, 1.0);
             let weight = free / (1.0 + ahead).powf(DRAW_POWER);
             total += weight;
@@ -470,10 +486,10 @@
             // Departure: where replicas are replaced all day nothing is kept and first tokens are late. The
             // pool shrank until requests waited longer here than there, with room everywhere.
             if elapsed > held {
-                self.pool.cut(POOL_CUT);
+                self.pool.cut(POOL_CUT.powf(self.pool.rare));
             }
         } else if elapsed <= late / 2.0 && self.pool_in_flight() as f64 * 2.0 >= self.pool.size {
-            self.pool.grow(POOL_GROWTH);
+            self.pool.grow(POOL_GROWTH.powf(self.pool.rare));
         }
         self.alive(replica, true);
     }
@@ -494,6 +510,7 @@
     fn take_report(&mut self, replica: ReplicaId, report: Option<Report>) {
         if let (Some(r), Some(report)) = (self.replicas.get_mut(&replica), report) {
             r.take_report(report, self.now);
+            self.learned.held(r.kind, r.memory_held, LEARN);
             self.learned.typical += LEARN * (r.reported - self.learned.typical);
         }
     }
@@ -526,15 +543,16 @@
             Outcome::Full => {
                 // What was turned away is no measure of what a warm replica bears: rule 4 rests on that.
                 self.learned.sent.add(self.now, -1.0);
-                self.pool.cut(POOL_CUT);
-                if let Some(r) = self.replicas.get_mut(&replica) {
-                    (r.paused_until, r.life) = (r.paused_until.max(self.now + PAUSE), self.now);
-                }
+                self.pool.cut(POOL_CUT.powf(self.pool.rare));
+                let (now, pause) = (self.now, self.now + PAUSE);
+                let left_alone =
+                    |r: &mut Replica| (r.paused_until, r.life) = (r.paused_until.max(pause), now);
+                self.replicas.entry(replica).and_modify(left_alone);
             }
             Outcome::TimedOut | Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
                 if streaming || outcome == TimedOut {
                     // A broken stream is a sign of load, as a time-out is.
-                    self.pool.cut(POOL_CUT);
+                    self.pool.cut(POOL_CUT.powf(self.pool.rare));
                 }
                 if streaming {
                     self.broke(replica, sent);
@@ -586,10 +604,8 @@
             _ => request.may_have_run().is_none(),
         };
         let wait = self.backlog_wait(request).min(self.settings.limits.max_retry_after);
-        out.push(match harmless {
-            true => Action::Refuse { request: id, retry_after: wait },
-            false => Action::Fail { request: id },
-        });
+        let refusal = Action::Refuse { request: id, retry_after: wait };
+        out.push(if harmless { refusal } else { Action::Fail { request: id } });
         self.close(id, out);
     }
 
@@ -598,23 +614,18 @@
         self.hold(id, false);
         self.parked.retain(|p| *p != id);
         self.call_off(id, out);
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.ended = true;
-        }
+        self.requests.entry(id).and_modify(|r| r.ended = true);
         self.forget(id);
     }
 
     fn call_off(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id).filter(|_| self.settings.limits.cancel) else {
-            return;
-        };
-        let actions = request.call_off().into_iter();
-        out.extend(actions.map(|attempt| Action::Cancel { request: id, attempt }));
+        let request = self.requests.get_mut(&id).filter(|_| self.settings.limits.cancel);
+        let called = request.map(Request::call_off).into_iter().flatten();
+        out.extend(called.map(|attempt| Action::Cancel { request: id, attempt }));
     }
 
     fn forget(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get(&id) else { return };
-        if request.ended && request.out().next().is_none() {
+        if self.requests.get(&id).is_some_and(|r| r.ended && r.out().next().is_none()) {
             self.requests.remove(&id);
         }
     }
@@ -640,7 +651,7 @@
         // routers the traffic of one tells little: what all tenants may send says it for the whole fleet.
         let allowed = self.settings.tenants.iter().map(|t| t.allowance).sum::<f64>();
         let rate = match allowed > 0.0 && allowed < NO_ALLOWANCE {
-            true => COLD_PUSH * allowed / (self.pool.most_up.max(1) * self.settings.routers) as f64,
+            true => allowed / (self.pool.most_up.max(1) * self.settings.routers) as f64,
             false => self.learned.sent.get(self.now) / self.pool.warm.max(1) as f64,
         };
         for (id, r) in &mut self.replicas {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -97,12 +97,15 @@
     Cell,
 }
 
+/// The allowance of tenants that have none.
+pub const NO_ALLOWANCE: f64 = 1e9;
+
 /// One tenant.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Its part of the service; parts are compared with each other.
     pub share: f64,
-    /// Requests a second, over all routers, that count as within its share.
+    /// Requests a second, over all routers, that count as within its share; [`NO_ALLOWANCE`] where none is set.
     pub allowance: f64,
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,6 +125,8 @@
     pub(crate) silent_since: Option<Seconds>,
     pub(crate) paused_until: Seconds,
     pub(crate) next_probe: Seconds,
+    /// A probe is out.
+    pub(crate) asked: bool,
     /// Its address in spread bits, for the homes of sessions.
     pub(crate) hash: u64,
     pub(crate) size: Option<f64>,
@@ -240,6 +242,7 @@
             silent_since: None,
             paused_until: 0.0,
             next_probe: 0.0,
+            asked: false,
         }
     }
 }
@@ -359,6 +362,8 @@
     pub(crate) hold_time: Seconds,
     /// For each kind of replica, first tokens seen and their mean logarithm of time for a token read.
     pub(crate) paces: BTreeMap<usize, (f64, f64)>,
+    /// Mean share of memory held, for each kind of replica.
+    pub(crate) memory: BTreeMap<usize, f64>,
     /// Mean reported prompt tokens waiting, for replicas without a report.
     pub(crate) typical: f64,
 }
@@ -366,7 +371,15 @@
 impl Learned {
     pub(crate) fn new(horizon: Seconds) -> Self {
         let (released, sent) = (Rate::new(horizon), Rate::new(horizon));
-        Learned { quantum: 0.0, released, sent, hold_time: 1.0, paces: BTreeMap::new(), typical: 0.0 }
+        Learned {
+            quantum: 0.0,
+            released,
+            sent,
+            hold_time: 1.0,
+            paces: BTreeMap::new(),
+            memory: BTreeMap::new(),
+            typical: 0.0,
+        }
     }
 }
 
@@ -377,6 +390,15 @@
         *count = (*count + 1.0).min(samples);
         *mean += ((sample / FIRST_PACE).ln() - *mean) / *count;
     }
+    /// Takes one report of memory held at a replica of this kind.
+    pub(crate) fn held(&mut self, kind: usize, share: f64, weight: f64) {
+        let mean = self.memory.entry(kind).or_insert(share);
+        *mean += weight * (share - *mean);
+    }
+    /// Mean share of memory held by a kind.
+    pub(crate) fn held_of(&self, kind: usize) -> f64 {
+        self.memory.get(&kind).map_or(1.0, |m| m.max(0.02))
+    }
     /// As a multiple of the first guess: places in an order are whole numbers, and far smaller figures fell
     /// together there.
     pub(crate) fn pace_of(&self, kind: usize) -> f64 {
@@ -393,11 +415,13 @@
     pub(crate) warm: usize,
     /// The most replicas that were up at once.
     pub(crate) most_up: usize,
+    /// How much one answer counts: the more routers share the replicas, the fewer come to each of them.
+    pub(crate) rare: f64,
 }
 
 impl Pool {
     pub(crate) fn new() -> Self {
-        Pool { size: 1.0, fresh: true, warm: 0, most_up: 0 }
+        Pool { size: 1.0, fresh: true, warm: 0, most_up: 0, rare: 1.0 }
     }
     /// Keeps its part for each warm replica, at first so many requests. Without any it stays as it is.
     pub(crate) fn resize(&mut self, warm: usize, first: f64) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -438,7 +438,10 @@
     }
     let mut tenants = Vec::new();
     for t in list(&v, "tenants")? {
-        tenants.push(Tenant { share: need(&t, "share")?, allowance: number(&t, "allowancePerS", 1e9)? });
+        tenants.push(Tenant {
+            share: need(&t, "share")?,
+            allowance: number(&t, "allowancePerS", NO_ALLOWANCE)?,
+        });
     }
     let (l, r, c) = (&v["limits"], &v["rules"], &v["costs"]);
     let means = |key: &str, word: &str| v["specifics"][key].as_str().is_none_or(|t| t.contains(word));
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -283,7 +283,9 @@
     let mut at_once = 0;
     for seed in 0..12 {
         let mut rig = Rig::new(settings(), 1);
-        rig.brain = Brain::new(Settings { routers: 12, ..settings() }, seed).unwrap();
+        let mut s = Settings { routers: 12, ..settings() };
+        s.limits.probes = false;
+        rig.brain = Brain::new(s, seed).unwrap();
         rig.tell(Event::ListFull(vec![listing(0, ReplicaState::Up, None)]));
         let out = rig.fill();
         rig.tell(Event::ListChanged(vec![listing(1, ReplicaState::Up, Some(100.0))]));
@@ -619,7 +621,9 @@
 #[test]
 fn many_routers_share_what_a_replica_may_hold() {
     for (routers, sent) in [(1, 32), (4, 8), (32, 1), (300, 1)] {
-        let mut rig = Rig::new(Settings { routers, ..settings() }, 4);
+        let mut s = Settings { routers, ..settings() };
+        s.limits.probes = false;
+        let mut rig = Rig::new(s, 4);
         assert_eq!(rig.fill(), sent, "{routers} routers");
     }
 }
@@ -1054,3 +1058,79 @@
     rig.tell(Event::ListChanged((0..6).map(|n| listing(n, ReplicaState::Up, None)).collect()));
     assert!((rig.brain.window().0 - before).abs() < 1e-9, "{:?}", rig.brain.window());
 }
+
+/// A router among 100 on four replicas, that asks before it sends.
+fn one_of_many() -> Rig {
+    let mut rig = Rig::new(settings(), 0);
+    rig.brain = Brain::new(Settings { routers: 100, ..settings() }, 1).unwrap();
+    rig.tell(Event::ListFull((0..4).map(|n| listing(n, ReplicaState::Up, None)).collect()));
+    rig
+}
+
+fn asked(actions: &[Action]) -> Vec<ReplicaId> {
+    let probe = |a: &Action| if let Action::Probe { replica } = a { Some(*replica) } else { None };
+    actions.iter().filter_map(probe).collect()
+}
+
+fn probed(rig: &mut Rig, replica: ReplicaId, tokens: f64, memory: f64) -> Vec<Action> {
+    let report = Report { waiting_prompt_tokens: Some(tokens), memory_held: Some(memory) };
+    rig.tell(Event::Probed { replica, outcome: Outcome::Served, report: Some(report) })
+}
+
+/// Guards against draws without knowledge: among many routers the last report of a replica is a minute old.
+#[test]
+fn where_answers_are_rare_both_candidates_are_asked_before_a_request_goes_out() {
+    for (full, memory) in [(20_000.0, 0.1), (0.0, 0.9)] {
+        let mut spared = 0;
+        for n in 0..40 {
+            let mut rig = one_of_many();
+            let to = asked(&rig.tell(Event::Arrived(request(n, 0, 0, 5.0))));
+            assert_eq!((to.len(), sends(&rig.last).len()), (2, 0));
+            assert_eq!(sends(&probed(&mut rig, to[1], 0.0, 0.1)), [], "it waits for both answers");
+            let sent = sends(&probed(&mut rig, to[0], full, memory));
+            assert_eq!(sent.len(), 1);
+            spared += usize::from(sent[0].1 == to[1]);
+            // What has just said how it is is not asked again.
+            assert!(asked(&rig.tell(Event::Arrived(request(1000 + n, 0, 0, 5.0))))
+                .iter()
+                .all(|r| !to.contains(r)));
+        }
+        assert!(spared >= 36, "{spared} of 40 went to the emptier one");
+    }
+}
+
+/// Guards against requests that wait for a probe's answer from a replica that says nothing any more.
+#[test]
+fn a_replica_that_does_not_answer_a_probe_holds_nothing_up() {
+    for n in 0..20 {
+        let mut rig = one_of_many();
+        let to = asked(&rig.tell(Event::Arrived(request(n, 0, 0, 5.0))));
+        probed(&mut rig, to[1], 0.0, 0.1);
+        assert_eq!(sends(&rig.wait(0.03)), [(n, to[1])]);
+    }
+}
+
+/// Guards against requests held by a pool too coarse for a router's few requests while replicas are idle.
+#[test]
+fn an_idle_replica_has_room_beside_a_small_pool() {
+    for (tokens, more) in [(0.0, 1), (5_000.0, 0)] {
+        let mut rig = one_of_many();
+        // The pool of one of a hundred holds a single request.
+        for replica in asked(&rig.tell(Event::Arrived(request(1, 0, 0, 5.0)))) {
+            probed(&mut rig, replica, tokens, 0.1);
+        }
+        let mut sent = 0;
+        for replica in asked(&rig.tell(Event::Arrived(Arrival { session: Some(7), ..request(2, 0, 0, 5.0) })))
+        {
+            sent += sends(&probed(&mut rig, replica, tokens, 0.1)).len();
+        }
+        assert_eq!(sent, more, "{tokens} tokens waiting");
+    }
+}
+
+/// Guards against small fleets that pay for probes they do not need: their reports come with every answer.
+#[test]
+fn where_answers_are_many_nothing_is_asked() {
+    let mut rig = Rig::new(Settings { routers: 4, ..settings() }, 12);
+    assert_eq!(asked(&rig.tell(Event::Arrived(request(1, 0, 0, 5.0)))), []);
+}
