--- a/crates/lab/src/emulator/world.rs
+++ b/crates/lab/src/emulator/world.rs
@@ -616,6 +616,11 @@
         let all = (0..self.places.len()).filter(|s| self.places[*s].listed != ReplicaState::Gone);
         let list: Vec<Listing> =
             all.map(|s| self.listing(s, self.places[s].listed, self.places[s].born)).collect();
+        for (server, place) in self.places.iter().enumerate() {
+            // Known since the first word of it, and no longer once the whole list says otherwise.
+            let told = &mut self.nodes[node].drains[server];
+            *told = (place.listed == ReplicaState::Draining).then(|| told.unwrap_or(now));
+        }
         let epoch = self.nodes[node].epoch;
         self.tell(now, node as u32, epoch, Input::List { list, full: true });
     }
--- a/crates/lab/tests/emulator.rs
+++ b/crates/lab/tests/emulator.rs
@@ -116,6 +116,16 @@
     }
 }
 
+/// Guards against a drain that counts as known after the whole list has said that it is over.
+#[test]
+fn a_drain_that_ends_while_there_is_no_list_ends_with_the_next_one() {
+    let faults = vec![fault(What::NoList, 4.0, 4.3, 0.0, 0.2), fault(What::Deploys, 2.1, 0.0, 0.0, 2.4)];
+    let run = run(1, 1.0, 8.0, faults);
+    for (policy, seed) in Policy::ALL.into_iter().zip(1..) {
+        assert_eq!(play(&run, policy, seed).broken.sum(), 0, "{policy}");
+    }
+}
+
 fn any_fault() -> impl Strategy<Value = Fault> {
     (0..WHATS.len(), 0.0..5.0f64, 0.0..5.0f64, 0.0..=1.0f64, 0.2..3.0f64)
         .prop_map(|(what, at, span, part, size)| fault(WHATS[what], at, span, part, size))
