Give up held requests whose first token can no longer come in time

Now it is given up once the mean time from send to first token no longer fits; its client hears at once.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -240,8 +240,7 @@
                 return out.push(Action::Refuse { request: id, retry_after });
             }
         }
-        let may_ask = self.settings.limits.probes && time_left > 2.0 * TICK;
-        let asked = may_ask && self.ask_reports(&request.arrival, out);
+        let asked = time_left > 2.0 * TICK && self.ask_reports(&request.arrival, out);
         self.requests.insert(id, request);
         match asked {
             true => self.parked.push(id),
@@ -256,8 +255,9 @@
     }
 
     fn ask_reports(&mut self, arrival: &Arrival, out: &mut Vec<Action>) -> bool {
-        let (from, rare) = (self.settings.reports, self.pool.rare > 1.0);
-        let lacking = from == ReportSource::Probes || (from == ReportSource::Inline && rare);
+        let (from, probes) = (self.settings.reports, self.settings.limits.probes);
+        let inline = from == ReportSource::Inline && self.pool.rare > 1.0;
+        let lacking = probes && (inline || from == ReportSource::Probes);
         let due = |r: &Replica| r.next_probe.max(r.reported_at + PROBE_EVERY);
         let stale = |id: &ReplicaId| lacking && self.now >= due(&self.replicas[id]);
         let asked: Vec<ReplicaId> = self.homes(arrival).into_iter().filter(stale).collect();
@@ -266,8 +266,8 @@
     }
 
     fn probe(&mut self, replica: ReplicaId, out: &mut Vec<Action>) {
-        let next = self.now + PROBE_EVERY;
-        self.replicas.entry(replica).and_modify(|r| (r.asked, r.next_probe) = (true, next));
+        let asked = |r: &mut Replica| (r.asked, r.next_probe) = (true, self.now + PROBE_EVERY);
+        self.replicas.entry(replica).and_modify(asked);
         out.push(Action::Probe { replica });
     }
 
@@ -481,6 +481,7 @@
         if near && (elapsed > late || elapsed <= late / 2.0) {
             self.nearness = (self.nearness + step).clamp(0.0, most);
         }
+        self.learned.first += LEARN * (elapsed - self.learned.first);
         self.learned.pace(kind, elapsed.max(0.001) / (unread + BASE_TOKENS), PACE_SAMPLES);
         if elapsed > late {
             // Departure: where replicas are replaced all day nothing is kept and first tokens are late. The
@@ -544,10 +545,9 @@
                 // What was turned away is no measure of what a warm replica bears: rule 4 rests on that.
                 self.learned.sent.add(self.now, -1.0);
                 self.pool.cut(POOL_CUT.powf(self.pool.rare));
-                let (now, pause) = (self.now, self.now + PAUSE);
-                let left_alone =
-                    |r: &mut Replica| (r.paused_until, r.life) = (r.paused_until.max(pause), now);
-                self.replicas.entry(replica).and_modify(left_alone);
+                if let Some(r) = self.replicas.get_mut(&replica) {
+                    (r.paused_until, r.life) = (r.paused_until.max(self.now + PAUSE), self.now);
+                }
             }
             Outcome::TimedOut | Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
                 if streaming || outcome == TimedOut {
@@ -637,8 +637,8 @@
             out.push(Action::Subscribe);
         }
         self.unpark();
-        while let Some(id) = self.backlog.expired(self.now + EXPIRY_MARGIN) {
-            // A copy still out may yet be in time: then only the wish for another one ends.
+        while let Some(id) = self.backlog.expired(self.now + EXPIRY_MARGIN.max(self.learned.first)) {
+            // What cannot have its first token in time only takes room. A copy still out may yet have it.
             self.hold(id, false);
             if self.requests[&id].out().next().is_none() {
                 self.answer(id, out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -358,6 +358,8 @@
     /// Cost released, and attempts sent, a second.
     pub(crate) released: Rate,
     pub(crate) sent: Rate,
+    /// Mean time from the send to the first token.
+    pub(crate) first: Seconds,
     /// Mean time from the send to the end of an answer.
     pub(crate) hold_time: Seconds,
     /// For each kind of replica, first tokens seen and their mean logarithm of time for a token read.
@@ -373,6 +375,7 @@
         let (released, sent) = (Rate::new(horizon), Rate::new(horizon));
         Learned {
             quantum: 0.0,
+            first: 0.0,
             released,
             sent,
             hold_time: 1.0,
