--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1157,3 +1157,18 @@
     assert!(given_up[0] > 0.9 && given_up[0] < 1.04, "{given_up:?}");
     assert!(given_up[1] > 0.4 && given_up[1] < 0.7, "{given_up:?}");
 }
+
+/// Guards against replicas that were only slow and then, taken for just started, get a trickle.
+#[test]
+fn only_a_long_silence_makes_a_replica_cold() {
+    for (silence, warm) in [(0.5, true), (4.0, false)] {
+        let mut rig = Rig::new(settings(), 2);
+        let (before, to) =
+            (rig.brain.window().0, sends(&rig.tell(Event::Arrived(request(1, 0, 0, 9.0))))[0].1);
+        rig.wait(1.2);
+        rig.wait(silence);
+        rig.tell(Event::Probed { replica: to, outcome: Outcome::Served, report: None });
+        rig.wait(0.02);
+        assert_eq!(rig.brain.window().0 == before, warm, "{silence} s: {:?}", rig.brain.window());
+    }
+}
