Watch a pushed list from the start: a node of such a site never heard of a drain

Lines at fault: serve.rs started nothing; discovery.rs ended the watch on any failure.

Change: Watch::pushed() starts the watch at once and calls again 100 ms after a failure; asked lists are unchanged. Test: tests/exchanges/pushed.txt (a config with pushed lists; fails without the change: the node never calls).

--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -78,6 +78,9 @@
     if let Some(known) = &config.known {
         discovery.version(known.version());
     }
+    // Where lists are pushed the module never asks: the agent's list is watched from the start.
+    let pushed = boot.settings.discovery == crate::interface::Discovery::Pushed;
+    let discovery = if pushed { discovery.pushed() } else { discovery };
     let known = config.known.filter(|_| operator.lists()).map(|k| k.told());
     let directory = Directory::new(boot.clone(), operator.members());
     let hub = Hub::new(clock, Router::new(brain), directory, upstream, discovery.clone(), known);
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -1,5 +1,7 @@
 //! The watch of discovery's list: one call after the other on one connection, each with a time limit of its
-//! own. A call that fails ends the watch; when it starts again is the module's to say.
+//! own. Where the list is asked for, a call that fails ends the watch and when it starts again is the module's to
+//! say. Where it is pushed, the address is an agent on the node's own machine that answers at no cost: the watch
+//! runs from the start and calls again by itself after a short pause.
 
 use super::messages::{Message, LIST};
 use super::{Bounds, Wire};
@@ -11,12 +13,16 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, Notify};
 use tokio_util::codec::Framed;
 
 /// The longest answer that is read.
 const MOST_LIST: usize = 4 * 1024 * 1024;
+/// Where lists are pushed, a failed call is made again after this pause: long enough not to spin on a refused
+/// connection, short against the time in which a drain must be heeded.
+const PUSHED_PAUSE: Duration = Duration::from_millis(100);
 
 /// The watch of one node.
 #[derive(Clone)]
@@ -31,14 +37,23 @@
     version: Rc<Cell<u64>>,
     /// Why the last call failed, where it did.
     lately: Rc<RefCell<Option<String>>>,
+    /// The list is pushed: the watch never waits for the module.
+    pushed: bool,
 }
 
 impl Watch {
     /// A watch that has not begun.
     pub fn new(addr: SocketAddr, bounds: Rc<Bounds>, tell: mpsc::Sender<Message>) -> Self {
         let (moved, running, version, lately) = Default::default();
-        let enabled = Rc::new(Cell::new(true));
-        Watch { addr: Rc::new(Cell::new(addr)), moved, bounds, tell, running, enabled, version, lately }
+        let (addr, enabled, pushed) = (Rc::new(Cell::new(addr)), Rc::new(Cell::new(true)), false);
+        Watch { addr, moved, bounds, tell, running, enabled, version, lately, pushed }
+    }
+
+    /// The same watch where the list is pushed: it runs from now on, whether or not the module asks.
+    pub fn pushed(self) -> Self {
+        let watch = Watch { pushed: true, ..self };
+        watch.start();
+        watch
     }
 
     /// The list that the node has now.
@@ -75,11 +90,22 @@
     }
 
     async fn run(self) {
+        while self.watch().await {
+            tokio::select! {
+                () = self.moved.notified() => {}
+                () = tokio::time::sleep(PUSHED_PAUSE) => {}
+            }
+        }
+    }
+
+    /// Calls until a call fails, and tells the core that it did; whether to call again by itself.
+    async fn watch(&self) -> bool {
         let mut wire = None;
         let limit = self.bounds.watch + self.bounds.watch_slack;
         let why = loop {
             if !self.enabled.get() {
-                return self.running.set(false);
+                self.running.set(false);
+                return false;
             }
             let call = tokio::select! {
                 biased;
@@ -99,7 +125,7 @@
                     self.version.set(update.version());
                     let told = Message::Told { source: LIST, told: update.told() };
                     if self.tell.send(told).await.is_err() {
-                        return;
+                        return false;
                     }
                 }
                 Ok(Err(why)) => break why,
@@ -110,8 +136,11 @@
         if self.lately.replace(Some(why.clone())).as_ref() != Some(&why) {
             tracing::warn!(source = LIST, why, "no list");
         }
-        self.running.set(false);
-        let _ = self.tell.send(Message::Told { source: LIST, told: Told::Failed }).await;
+        if !self.pushed {
+            self.running.set(false);
+        }
+        let told = self.tell.send(Message::Told { source: LIST, told: Told::Failed }).await;
+        self.pushed && told.is_ok()
     }
 
     async fn call(&self, wire: &mut Option<Wire>) -> Result<Update, String> {
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -1,6 +1,7 @@
 //! Recorded byte exchanges, played against the program on loopback sockets and compared. In a file, lines
 //! after a step are bytes, each with CRLF at its end unless it ends in `\`; `{*}` stands for any bytes. Where a file
-//! of the same name ends in `.toml`, it is the operators' file, with a stand-in name server at `DNS`.
+//! of the same name ends in `.toml`, it is the operators' file, with a stand-in name server at `DNS`. A file whose
+//! first line is `#= FROM => TO` plays against `config.json` with that text replaced.
 
 use poppykeel_dns_standin::{Lie, Script, Standin};
 use std::collections::HashMap;
@@ -24,15 +25,30 @@
     listeners: HashMap<&'static str, TcpListener>,
     open: HashMap<String, TcpStream>,
     read: HashMap<String, Vec<u8>>,
+    /// The configuration as this file has it, with the listeners' addresses still to be put in.
+    text: String,
+}
+
+/// The configuration of a file: `config.json`, with what its first line replaces.
+fn configuration(exchange: &str) -> String {
+    let text = include_str!("exchanges/config.json").to_string();
+    let first = exchange.lines().next().and_then(|l| l.strip_prefix("#= "));
+    match first.and_then(|l| l.split_once(" => ")) {
+        Some((from, to)) => {
+            assert!(text.contains(from), "config.json has no '{from}'");
+            text.replace(from, to)
+        }
+        None => text,
+    }
 }
 
 impl Node {
-    fn start(name: &str, operator: Option<&str>) -> Node {
+    fn start(name: &str, text: String, operator: Option<&str>) -> Node {
         let listeners = ["replica", "discovery", "moved", "spare"]
             .map(|n| (n, TcpListener::bind("127.0.0.1:0").unwrap()));
         let dns = Standin::start("127.0.0.1:0".parse().unwrap(), Script::default()).unwrap();
         let addr = |n: usize| listeners[n].1.local_addr().unwrap().to_string();
-        let config = include_str!("exchanges/config.json").replace("REPLICA", &addr(0));
+        let config = text.replace("REPLICA", &addr(0));
         let path = std::env::temp_dir().join(format!("exchange-{name}-{}.json", std::process::id()));
         std::fs::write(&path, config.replace("DISCOVERY", &addr(1))).unwrap();
         let operator = operator.map(|text| {
@@ -69,6 +85,7 @@
             listeners: HashMap::from(listeners),
             open,
             read,
+            text,
         }
     }
 
@@ -124,7 +141,7 @@
             }
             "is moved" => {
                 let addr = |name| self.listeners[name].local_addr().unwrap().to_string();
-                let text = include_str!("exchanges/config.json").replace("REPLICA", &addr("replica"));
+                let text = self.text.replace("REPLICA", &addr("replica"));
                 std::fs::write(&self.config, text.replace("DISCOVERY", &addr("moved"))).unwrap();
                 self.signal("-HUP");
             }
@@ -184,7 +201,7 @@
 
 /// Plays one file. A line `@party does` begins a step; `#` begins a comment.
 fn play(name: &str, text: &str, operator: Option<&str>) {
-    let mut node = Node::start(name, operator);
+    let mut node = Node::start(name, configuration(text), operator);
     for step in text
         .strip_suffix('\n')
         .unwrap_or(text)
@@ -219,5 +236,8 @@
     )*};
 }
 
-exchanges! { served broken declined rejected gone chunked_request duplicate drained stopped pipelined reloaded spoilt at_fault }
+exchanges! {
+    served broken declined rejected gone chunked_request duplicate drained stopped pipelined reloaded spoilt at_fault
+    pushed
+}
 exchanges_with_operators! { srv srv_alone srv_moves }
