Pass over replicas with requests queued for their batch, read from load reports

Cause: the draw weighed memory held and prompt tokens waiting only. Lima's batches hold 8 to 30, so the queue mattered little there. Lines at fault: wire.rs read only x0 and x1; the draw in brain.rs had no term for a queue.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,6 +38,8 @@
 const NEAR_GROWTH: f64 = 0.04;
 const NEAR_FIRST: f64 = 4.0;
 const NEAR_MOST: f64 = 200.0;
+/// Departure: a request queued for a place in a batch waits for a whole answer: each counts as so much reading.
+const QUEUED: f64 = 4.0;
 /// A replica whose memory is full is drawn this much as often as an empty one, not never.
 const LEAST_WEIGHT: f64 = 0.05;
 /// A report counts less with age and is worth nothing after this long.
@@ -170,19 +172,9 @@
         self.release(out);
     }
 
-    /// Requests that may be out together as things stand, and that are, for the log.
-    pub fn window(&self) -> (f64, usize) {
-        (self.pool.size, self.pool_in_flight())
-    }
-
-    /// Requests held, by tenant, for the log.
-    pub fn waiting(&self) -> Vec<usize> {
-        self.backlog.waiting()
-    }
-
-    /// Replicas kept in mind, for the log.
-    pub fn replicas(&self) -> usize {
-        self.replicas.len()
+    /// For the log: requests that may be out together and that are, those held by tenant, replicas kept in mind.
+    pub fn gauges(&self) -> (f64, usize, Vec<usize>, usize) {
+        (self.pool.size, self.pool_in_flight(), self.backlog.waiting(), self.replicas.len())
     }
 
     /// Departure: with more routers than replicas answers are rare. Each counts for more, reports are asked
@@ -363,9 +355,14 @@
         self.replicas.values().any(|r| self.has_room(r, pooled))
     }
 
+    /// How much a replica's last report still counts, from 1 when new to 0.
+    fn freshness(&self, r: &Replica) -> f64 {
+        (1.0 - (self.now - r.reported_at) / REPORT_LIFE).max(0.0)
+    }
+
     /// Prompt tokens that will be read at `r` before a request sent now, without its own.
     fn tokens_waiting(&self, r: &Replica) -> f64 {
-        let weight = (1.0 - (self.now - r.reported_at) / REPORT_LIFE).max(0.0);
+        let weight = self.freshness(r);
         r.reported * weight + self.learned.typical * (1.0 - weight) + r.own_unread
     }
 
@@ -418,7 +415,8 @@
                 continue;
             }
             let unread = prompt.saturating_sub(if home == Some(to) { prompt } else { prefix }) as f64;
-            let ahead = (waiting * WAITING_SHARE + unread) / BASE_TOKENS;
+            let queued = r.queued * QUEUED * self.freshness(r);
+            let ahead = (waiting * WAITING_SHARE + unread) / BASE_TOKENS + queued;
             let busy = CROWD * (r.memory_held / self.learned.held_of(r.kind) - 1.0).max(0.0);
             let ahead = ahead + busy + if r.asked { NO_ANSWER } else { 0.0 };
             let free = 1.0 + LEAST_WEIGHT - r.memory_held.clamp(0.0, 1.0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -196,6 +196,10 @@
     pub waiting_prompt_tokens: Option<f64>,
     /// The share of memory held by running requests.
     pub memory_held: Option<f64>,
+    /// Requests the replica holds, running or waiting.
+    pub holding: Option<f64>,
+    /// Requests waiting there for a place in the batch.
+    pub queued: Option<f64>,
 }
 
 /// A client's request.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -180,15 +180,16 @@
     }
     /// Replicas that the module keeps in mind.
     pub fn replicas(&self) -> usize {
-        self.brain.replicas()
+        self.brain.gauges().3
     }
     /// Requests that may be out together as things stand, and that are.
     pub fn window(&self) -> (f64, usize) {
-        self.brain.window()
+        let (size, out, _, _) = self.brain.gauges();
+        (size, out)
     }
     /// Requests that the module holds, by tenant.
     pub fn waiting(&self) -> Vec<usize> {
-        self.brain.waiting()
+        self.brain.gauges().2
     }
     /// What has happened so far.
     pub fn counts(&self) -> Counts {
--- a/src/state.rs
+++ b/src/state.rs
@@ -117,6 +117,8 @@
     /// Own prompt tokens sent and not yet read.
     pub(crate) own_unread: f64,
     pub(crate) memory_held: f64,
+    /// Requests reported waiting for a place in its batch.
+    pub(crate) queued: f64,
     pub(crate) life: Seconds,
     pub(crate) failures: u32,
     /// Streams in a row that stalled or broke after their first token, and when the last of these did.
@@ -235,6 +237,7 @@
             reported_at: f64::NEG_INFINITY,
             own_unread: 0.0,
             memory_held: 0.0,
+            queued: 0.0,
             life: 0.0,
             failures: 0,
             broken: 0,
@@ -300,6 +303,9 @@
         if let Some(held) = report.memory_held.filter(|m| (0.0..f64::INFINITY).contains(m)) {
             self.memory_held = held;
         }
+        if let Some(queued) = report.queued.filter(|q| (0.0..MOST_TOKENS).contains(q)) {
+            self.queued = queued;
+        }
     }
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -59,9 +59,30 @@
 enum Field {
     WaitingPromptTokens,
     MemoryHeld,
+    Holding,
+    Queued,
     Other,
 }
 
+/// The protocol's words for report fields beside the wire's, each pair one field: a report on sockets may use either.
+const FIELD_WORDS: [(&str, &str); 6] = [
+    ("inflight", "busy_reqs"),
+    ("queue", "pending"),
+    ("latency_ms", "svc_ms"),
+    ("util", "cpu_share"),
+    ("qps", "served_ps"),
+    ("eps", "failed_ps"),
+];
+
+/// The other word for the same report field, where there is one.
+fn other_word(name: &str) -> Option<&'static str> {
+    FIELD_WORDS.iter().find_map(|&(a, b)| match name {
+        _ if name == a => Some(b),
+        _ if name == b => Some(a),
+        _ => None,
+    })
+}
+
 /// A catalog entry before the instance it goes to is known.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Row {
@@ -375,7 +396,7 @@
     pub fn report(&self, value: impl Fn(&str) -> Option<f64>) -> Report {
         let mut report = Report::default();
         for (name, field) in self.names.fields.iter().zip(&self.fields) {
-            if let Some(value) = value(name) {
+            if let Some(value) = value(name).or_else(|| other_word(name).and_then(&value)) {
                 field.put(&mut report, value);
             }
         }
@@ -388,6 +409,8 @@
         match self {
             Field::WaitingPromptTokens => report.waiting_prompt_tokens = Some(value * 1000.0),
             Field::MemoryHeld => report.memory_held = Some(value),
+            Field::Holding => report.holding = Some(value),
+            Field::Queued => report.queued = Some(value),
             Field::Other => {}
         }
     }
@@ -448,6 +471,8 @@
     let field = |f: &Value| match f.as_str() {
         Some("x1") if means("reportX1", "prompt tokens") => Field::WaitingPromptTokens,
         Some("x0") if means("reportX0", "memory") => Field::MemoryHeld,
+        Some("busy_reqs" | "inflight") => Field::Holding,
+        Some("pending" | "queue") => Field::Queued,
         _ => Field::Other,
     };
     let settings = Settings {
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -563,7 +563,7 @@
 }
 
 fn reported(rig: &mut Rig, replica: ReplicaId, tokens: f64) -> Vec<Action> {
-    let report = Report { waiting_prompt_tokens: Some(tokens), memory_held: Some(0.1) };
+    let report = Report { waiting_prompt_tokens: Some(tokens), memory_held: Some(0.1), ..Report::default() };
     rig.tell(Event::Probed { replica, outcome: Outcome::Served, report: Some(report) })
 }
 
@@ -920,10 +920,10 @@
         ]));
     }
     // The first one still holds a request.
-    assert_eq!(rig.brain.replicas(), 2);
+    assert_eq!(rig.brain.gauges().3, 2);
     rig.end(1, 0, Outcome::Served, true);
     rig.tell(Event::ListFull(vec![listing(50, ReplicaState::Up, None)]));
-    assert_eq!(rig.brain.replicas(), 1);
+    assert_eq!(rig.brain.gauges().3, 1);
 }
 
 #[test]
@@ -1052,11 +1052,11 @@
 #[test]
 fn the_pool_of_every_router_follows_the_warm_replicas() {
     let mut rig = Rig::new(settings(), 8);
-    let before = rig.brain.window().0;
+    let before = rig.brain.gauges().0;
     rig.tell(Event::ListChanged((0..6).map(|n| listing(n, ReplicaState::Draining, None)).collect()));
-    assert!((rig.brain.window().0 - before / 4.0).abs() < 1e-9, "{:?}", rig.brain.window());
+    assert!((rig.brain.gauges().0 - before / 4.0).abs() < 1e-9, "{:?}", rig.brain.gauges());
     rig.tell(Event::ListChanged((0..6).map(|n| listing(n, ReplicaState::Up, None)).collect()));
-    assert!((rig.brain.window().0 - before).abs() < 1e-9, "{:?}", rig.brain.window());
+    assert!((rig.brain.gauges().0 - before).abs() < 1e-9, "{:?}", rig.brain.gauges());
 }
 
 /// A router among 100 on four replicas, that asks before it sends.
@@ -1073,7 +1073,7 @@
 }
 
 fn probed(rig: &mut Rig, replica: ReplicaId, tokens: f64, memory: f64) -> Vec<Action> {
-    let report = Report { waiting_prompt_tokens: Some(tokens), memory_held: Some(memory) };
+    let report = Report { waiting_prompt_tokens: Some(tokens), memory_held: Some(memory), ..Report::default() };
     rig.tell(Event::Probed { replica, outcome: Outcome::Served, report: Some(report) })
 }
 
@@ -1164,11 +1164,32 @@
     for (silence, warm) in [(0.5, true), (4.0, false)] {
         let mut rig = Rig::new(settings(), 2);
         let (before, to) =
-            (rig.brain.window().0, sends(&rig.tell(Event::Arrived(request(1, 0, 0, 9.0))))[0].1);
+            (rig.brain.gauges().0, sends(&rig.tell(Event::Arrived(request(1, 0, 0, 9.0))))[0].1);
         rig.wait(1.2);
         rig.wait(silence);
         rig.tell(Event::Probed { replica: to, outcome: Outcome::Served, report: None });
         rig.wait(0.02);
-        assert_eq!(rig.brain.window().0 == before, warm, "{silence} s: {:?}", rig.brain.window());
+        assert_eq!(rig.brain.gauges().0 == before, warm, "{silence} s: {:?}", rig.brain.gauges());
     }
 }
+
+/// Guards against a draw that reads memory and prompt tokens only: where batches are small, a request sent to a
+/// replica whose batch is full waits there for a whole answer, though nothing is left to read.
+#[test]
+fn a_replica_with_requests_queued_is_passed_over() {
+    let mut away = 0;
+    for session in 0..20 {
+        let mut rig = Rig::new(Settings { reports: ReportSource::Probes, ..settings() }, 8);
+        let turn = Arrival { session: Some(session), ..request(1, 0, 0, 5.0) };
+        let asked = probes(&rig.tell(Event::Arrived(turn)));
+        assert_eq!(asked.len(), 2);
+        let queued = Report { waiting_prompt_tokens: Some(0.0), queued: Some(3.0), ..Report::default() };
+        let probed = |replica, report| Event::Probed { replica, outcome: Outcome::Served, report: Some(report) };
+        let mut sent = sends(&rig.tell(probed(asked[0], queued)));
+        let idle = Report { waiting_prompt_tokens: Some(0.0), queued: Some(0.0), ..Report::default() };
+        sent.extend(sends(&rig.tell(probed(asked[1], idle))));
+        assert_eq!(sent.len(), 1);
+        away += usize::from(sent[0].1 != asked[0]);
+    }
+    assert!(away >= 18, "{away} of 20 went to the replica without a queue");
+}
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -123,3 +123,19 @@
         assert!(matches!(fault, Some(Fault::Malformed(_))), "{bad}: {fault:?}");
     }
 }
+
+/// Guards against a report read by the wire's words only: servers may name a field by the protocol's word for it,
+/// and a site's fields need not be Lima's. Fields absent, unknown or unreadable are left out, never an error.
+#[test]
+fn load_reports_are_read_by_either_word_for_a_field() {
+    let mut settings = serde_json::from_str::<serde_json::Value>(CONFIG).unwrap()["settings"].clone();
+    settings["report"]["fields"] = json!(["x0", "x1", "busy_reqs", "pending", "svc_ms"]);
+    let boot = Boot::read(&settings.to_string()).unwrap();
+    let read = |text: &str| poppykeel::protocol::report::report(text, &boot).unwrap();
+    let report = read(r#"{"x0":0.5,"x1":2.0,"inflight":6,"queue":2,"extra":1}"#);
+    let expected = (Some(0.5), Some(2000.0), Some(6.0), Some(2.0));
+    assert_eq!((report.memory_held, report.waiting_prompt_tokens, report.holding, report.queued), expected);
+    assert_eq!(read(r#"{"pending":3}"#).queued, Some(3.0));
+    let bad = read(r#"{"x0":"much","pending":null}"#);
+    assert_eq!((bad.memory_held, bad.queued), (None, None));
+}
