--- a/crates/lab/src/emulator/world.rs
+++ b/crates/lab/src/emulator/world.rs
@@ -771,7 +771,11 @@
 }
 
 fn report(shown: Shown) -> Report {
-    Report { waiting_prompt_tokens: Some(shown.waiting), memory_held: Some(shown.memory), ..Report::default() }
+    Report {
+        waiting_prompt_tokens: Some(shown.waiting),
+        memory_held: Some(shown.memory),
+        ..Report::default()
+    }
 }
 
 fn words(outcome: interface::Outcome) -> &'static str {
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1073,7 +1073,8 @@
 }
 
 fn probed(rig: &mut Rig, replica: ReplicaId, tokens: f64, memory: f64) -> Vec<Action> {
-    let report = Report { waiting_prompt_tokens: Some(tokens), memory_held: Some(memory), ..Report::default() };
+    let report =
+        Report { waiting_prompt_tokens: Some(tokens), memory_held: Some(memory), ..Report::default() };
     rig.tell(Event::Probed { replica, outcome: Outcome::Served, report: Some(report) })
 }
 
@@ -1184,7 +1185,8 @@
         let asked = probes(&rig.tell(Event::Arrived(turn)));
         assert_eq!(asked.len(), 2);
         let queued = Report { waiting_prompt_tokens: Some(0.0), queued: Some(3.0), ..Report::default() };
-        let probed = |replica, report| Event::Probed { replica, outcome: Outcome::Served, report: Some(report) };
+        let probed =
+            |replica, report| Event::Probed { replica, outcome: Outcome::Served, report: Some(report) };
         let mut sent = sends(&rig.tell(probed(asked[0], queued)));
         let idle = Report { waiting_prompt_tokens: Some(0.0), queued: Some(0.0), ..Report::default() };
         sent.extend(sends(&rig.tell(probed(asked[1], idle))));
