--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,7 +38,7 @@
 const NEAR_GROWTH: f64 = 0.04;
 const NEAR_FIRST: f64 = 4.0;
 const NEAR_MOST: f64 = 200.0;
-/// Departure: a request queued for a place in a batch waits for a whole answer: each counts as so much reading.
+/// Departure: a request queued for a batch waits for a whole answer: each counts as so much reading.
 const QUEUED: f64 = 4.0;
 /// A replica whose memory is full is drawn this much as often as an empty one, not never.
 const LEAST_WEIGHT: f64 = 0.05;
@@ -172,7 +172,7 @@
         self.release(out);
     }
 
-    /// For the log: requests that may be out together and that are, those held by tenant, replicas kept in mind.
+    /// For the log: requests that may be out together and are, those held by tenant, replicas in mind.
     pub fn gauges(&self) -> (f64, usize, Vec<usize>, usize) {
         (self.pool.size, self.pool_in_flight(), self.backlog.waiting(), self.replicas.len())
     }
