--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -173,6 +173,7 @@
             gone = c.gone,
             sent = c.sent,
             ends = ?c.ends,
+            reports_passed_over = crate::protocol::report::passed_over(),
             "summary"
         );
         self.upstream.streams.log(|replica| self.directory.name(replica).map(String::from));
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -136,6 +136,9 @@
     let expected = (Some(0.5), Some(2000.0), Some(6.0), Some(2.0));
     assert_eq!((report.memory_held, report.waiting_prompt_tokens, report.holding, report.queued), expected);
     assert_eq!(read(r#"{"pending":3}"#).queued, Some(3.0));
-    let bad = read(r#"{"x0":"much","pending":null}"#);
-    assert_eq!((bad.memory_held, bad.queued), (None, None));
+    let before = poppykeel::protocol::report::passed_over();
+    let bad = read(r#"{"x0":"much","x1":-2,"pending":null}"#);
+    assert_eq!((bad.memory_held, bad.waiting_prompt_tokens, bad.queued), (None, None, None));
+    assert_eq!(poppykeel::protocol::report::report("[1,2]", &boot), None);
+    assert!(poppykeel::protocol::report::passed_over() >= before + 3, "two values and a report are counted");
 }
