--- a/src/wire.rs
+++ b/src/wire.rs
@@ -64,15 +64,8 @@
     Other,
 }
 
-/// The protocol's words for report fields beside the wire's, each pair one field: a report on sockets may use either.
-const FIELD_WORDS: [(&str, &str); 6] = [
-    ("inflight", "busy_reqs"),
-    ("queue", "pending"),
-    ("latency_ms", "svc_ms"),
-    ("util", "cpu_share"),
-    ("qps", "served_ps"),
-    ("eps", "failed_ps"),
-];
+/// The protocol's words for the report fields the module uses beside the wire's: a report on sockets may use either.
+const FIELD_WORDS: [(&str, &str); 2] = [("inflight", "busy_reqs"), ("queue", "pending")];
 
 /// The other word for the same report field, where there is one.
 fn other_word(name: &str) -> Option<&'static str> {
