Draw by one estimate of the time to the first token; send turns where they were read

Design: src/brain/estimate.rs says in seconds what a send would come to: reading, waiting for a place, the tail of the replica's last answers; the chance to be late at that, crossing, reading and the place taken are one cost in requests, and the draw is random by e to the minus cost. Rejected: the sum of terms to a power, which gave a different best constant at each site. What answers found kept (cached_tokens in the usage, the wire's detail) is read: where this router sent the turn before, and homes, count by how far they have been found to keep anything.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,7 +7,11 @@
 use crate::interface::*;
 use crate::state::*;
 use oorandom::Rand64;
-use std::collections::BTreeMap;
+
+mod estimate;
+mod ledger;
+use estimate::BASE_TOKENS;
+pub use ledger::Brain;
 
 /// How often all requests are looked over; small against any aim, cheap against the CPU.
 const TICK: Seconds = 0.02;
@@ -16,45 +20,18 @@
 /// The window of a replica is this many even parts of the pool, and at least so many requests.
 const WINDOW_PARTS: f64 = 4.0;
 const LEAST_WINDOW: f64 = 4.0;
-/// Departure: prompts being read hold up streams, and a first token at the aim is a time-out seen late. It is
-/// late past a part of the aim or some token aims, whichever is less, plus twice its growth by reading.
-const READ_SLACK: f64 = 2.0;
-const LATE_PART: f64 = 0.35;
-const LATE_TOKENS: f64 = 4.0;
+/// Departure: prompts being read hold up streams, and a first token at the aim is a time-out seen late: it is
+/// late past this part of the aim.
+const LATE_PART: f64 = 0.3;
 /// Weight of one new sample in a learned mean.
 const LEARN: f64 = 0.1;
 /// Horizon of the release rate: long enough to smooth single requests, short enough to follow a burst.
 const RATE_HORIZON: Seconds = 2.0;
-/// Prompt tokens that every request is taken to cost beyond its own.
-const BASE_TOKENS: f64 = 500.0;
-/// Departure: waiting tokens are only waited for, unread ones are work: they count less by this factor.
-const WAITING_SHARE: f64 = 0.4;
-/// The draw falls with this power of the tokens to be read before the first token.
-const DRAW_POWER: f64 = 8.0;
-/// Departure: where crossing zones has a price, a replica of the own zone ranks as larger. A zone may have
-/// more traffic than its replicas carry, so by how much is learned: a late first token there takes this off
-/// its logarithm, an early one adds that, up to a bound that grows with the price.
-const NEAR_CUT: f64 = 0.1;
-const NEAR_GROWTH: f64 = 0.04;
-const NEAR_FIRST: f64 = 4.0;
-const NEAR_MOST: f64 = 200.0;
-/// Departure: a request queued for a batch waits for a whole answer: each counts as so much reading.
-const QUEUED: f64 = 4.0;
-/// A replica whose memory is full is drawn this much as often as an empty one, not never.
-const LEAST_WEIGHT: f64 = 0.05;
-/// A report counts less with age and is worth nothing after this long.
-const REPORT_LIFE: Seconds = 3.0;
 /// A report older than this is asked for anew when a request may go there.
 const PROBE_EVERY: Seconds = 1.0;
-/// A replica that leaves a probe without an answer for longer than a tick counts as so much fuller.
-const NO_ANSWER: f64 = 10.0;
-/// Departure: who holds more memory than its kind on average runs more or is slower; it counts so much.
-const CROWD: f64 = 6.0;
 /// Departure: a session's next turn comes to any router, so each session has an order of replicas that all
-/// reckon alike. So many are asked for reports and drawn from; more lead turns away from what was read.
-const DRAWN: usize = 2;
-/// The pace of a kind of replica is a mean over so many first tokens, so that homes do not wander with it.
-const PACE_SAMPLES: f64 = 400.0;
+/// reckon alike, the own zone's first where crossing has a price. So many are asked for reports.
+const ASKED: usize = 2;
 /// Departure: a window of one in each of many routers is too much, so a router's windows have a common bound,
 /// its pool: at first so many requests for each replica, shared among the routers.
 const FIRST_POOL: f64 = 8.0;
@@ -62,10 +39,9 @@
 const POOL_GROWTH: f64 = 1.04;
 /// ... and is cut by this one on a late first token, a time-out or "full". Deeper cuts left replicas idle.
 const POOL_CUT: f64 = 0.985;
-/// Departure: other routers may hold work of higher worth. So work beyond a share uses only this part of the
-/// pool, and only replicas where few prompt tokens wait.
+/// Departure: other routers may hold work of higher worth. So work beyond a share uses only this part of
+/// the pool.
 const SPARE_PART: f64 = 0.4;
-const SPARE_TOKENS: f64 = 500.0;
 /// Failures in a row that eject a replica.
 const EJECT_AFTER: u32 = 3;
 /// An ejected replica gets one trial in this time; one that said "full" is left alone as long.
@@ -79,58 +55,7 @@
 /// An even part is widened by this, since the front does not spread clients evenly over routers and zones.
 const SHARE_SLACK: f64 = 1.3;
 
-/// The decisions of one router.
-pub struct Brain {
-    settings: Settings,
-    rng: Rand64,
-    now: Seconds,
-    started: bool,
-    backlog: Backlog,
-    requests: BTreeMap<RequestId, Request>,
-    parked: Vec<RequestId>,
-    replicas: BTreeMap<ReplicaId, Replica>,
-    /// For each tenant, what is left of its allowance.
-    allowances: Vec<Allowance>,
-    /// Most of the fleet seems out: then the cause is shared, and sending to none of it would help nobody.
-    most_ejected: bool,
-    arrivals: u64,
-    learned: Learned,
-    pool: Pool,
-    ask_at: Option<Seconds>,
-    /// Logarithm of how much larger a replica of the own zone ranks.
-    nearness: f64,
-}
-
 impl Brain {
-    /// A router that knows no replica yet. The same settings, seed and events give the same actions.
-    pub fn new(settings: Settings, seed: u64) -> Result<Brain, SettingsError> {
-        settings.check()?;
-        let over = if settings.tenants.is_empty() { 1.0 } else { settings.over_share_worth };
-        let mut worths: Vec<f64> = settings.classes.iter().flat_map(|c| [c.worth, c.worth * over]).collect();
-        worths.sort_by(|a, b| b.total_cmp(a));
-        worths.dedup();
-        let least = settings.classes.iter().map(|c| c.worth).fold(f64::INFINITY, f64::min);
-        let tenants = settings.tenants.len().max(1);
-        let nearness = NEAR_FIRST.ln().min((NEAR_MOST * settings.prices.cross_zone).ln_1p());
-        Ok(Brain {
-            nearness,
-            backlog: Backlog::new(worths, least, tenants),
-            allowances: vec![Allowance::default(); tenants],
-            rng: Rand64::new(u128::from(seed)),
-            settings,
-            now: 0.0,
-            started: false,
-            requests: BTreeMap::new(),
-            parked: Vec::new(),
-            replicas: BTreeMap::new(),
-            most_ejected: false,
-            arrivals: 0,
-            learned: Learned::new(RATE_HORIZON),
-            pool: Pool::new(),
-            ask_at: None,
-        })
-    }
-
     /// Takes one event and appends the actions it calls for. Events about something unknown are passed over;
     /// so are all but the first event of a request id. A time before the last one counts as the last one.
     pub fn handle(&mut self, now: Seconds, event: Event, out: &mut Vec<Action>) {
@@ -172,11 +97,6 @@
         self.release(out);
     }
 
-    /// For the log: requests that may be out together and are, those held by tenant, replicas in mind.
-    pub fn gauges(&self) -> (f64, usize, Vec<usize>, usize) {
-        (self.pool.size, self.pool_in_flight(), self.backlog.waiting(), self.replicas.len())
-    }
-
     /// Departure: with more routers than replicas answers are rare. Each counts for more, reports are asked
     /// for, and a replica that says it is idle has room beside the pool, which is too coarse.
     fn relist(&mut self, list: Vec<Listing>, full: bool) {
@@ -220,6 +140,11 @@
         let worth = if self.within_share(tenant) { worth } else { worth * self.settings.over_share_worth };
         let tier = self.backlog.tier_of(worth);
         let cost = (arrival.prompt_tokens + arrival.answer_limit).max(1) as f64;
+        if self.arrivals == 0 {
+            // Before any has ended: answers run to a quarter of their limit, four times as fast as they must.
+            let pace = self.settings.classes[arrival.class].token_aim.min(1.0);
+            self.learned.hold_time = (pace * arrival.answer_limit as f64 / 16.0).max(1.0);
+        }
         self.learned.quantum += (cost - self.learned.quantum) * if self.arrivals == 0 { 1.0 } else { LEARN };
         self.arrivals += 1;
         let key = (micros(deadline), self.arrivals);
@@ -279,18 +204,6 @@
         (higher + own + others) / self.learned.released.get(self.now).max(floor)
     }
 
-    fn unpark(&mut self) {
-        for id in std::mem::take(&mut self.parked) {
-            self.hold(id, true);
-        }
-    }
-
-    fn hold(&mut self, id: RequestId, held: bool) {
-        if let Some(request) = self.requests.get_mut(&id) {
-            self.backlog.hold(id, request, held);
-        }
-    }
-
     /// The next request by tier, then deficit round robin, then deadline; it has left its queue.
     fn next_held(&mut self) -> Option<RequestId> {
         let tier = self.backlog.tiers.iter_mut().find(|t| !t.turn.is_empty())?;
@@ -335,16 +248,12 @@
         let open = self.now >= r.paused_until || (self.most_ejected && r.silent_since.is_none());
         let idle = self.pool.rare > 1.0
             && self.now < r.reported_at + PROBE_EVERY
-            && self.tokens_waiting(r) < SPARE_TOKENS;
+            && self.tokens_waiting(r) < BASE_TOKENS;
         let allowed = if self.cold(r) { r.cold_credit > 0.0 } else { pooled || idle };
         let window = (WINDOW_PARTS * self.pool.size / self.pool.warm.max(1) as f64).max(LEAST_WINDOW);
         r.up && open && allowed && (r.in_flight as f64) < window.floor()
     }
 
-    fn pool_in_flight(&self) -> usize {
-        self.replicas.values().filter(|r| r.up && !self.cold(r)).map(|r| r.in_flight).sum()
-    }
-
     fn pool_free(&self, tier: usize) -> bool {
         let part = if self.backlog.tiers[tier].spare { SPARE_PART } else { 1.0 };
         (self.pool_in_flight() as f64) < (self.pool.size * part).max(1.0)
@@ -355,29 +264,18 @@
         self.replicas.values().any(|r| self.has_room(r, pooled))
     }
 
-    /// How much a replica's last report still counts, from 1 when new to 0.
-    fn freshness(&self, r: &Replica) -> f64 {
-        (1.0 - (self.now - r.reported_at) / REPORT_LIFE).max(0.0)
-    }
-
-    /// Prompt tokens that will be read at `r` before a request sent now, without its own.
-    fn tokens_waiting(&self, r: &Replica) -> f64 {
-        let weight = self.freshness(r);
-        r.reported * weight + self.learned.typical * (1.0 - weight) + r.own_unread
-    }
-
-    /// The first in a session's order of the replicas that will do.
+    /// The first in a session's order of the replicas that will do: where crossing zones has a price, the
+    /// first of the own zone and one beyond, since a zone may have more traffic than its replicas can carry.
     fn order(&self, arrival: &Arrival, will_do: impl Fn(&ReplicaId, &Replica) -> bool) -> Vec<ReplicaId> {
         let session = arrival.session.unwrap_or(arrival.id.0);
+        let near = |r: &Replica| r.zone == self.settings.zone || self.settings.prices.cross_zone <= 0.0;
         let fit = self.replicas.iter().filter(|(id, r)| will_do(id, r));
-        let mut order: Vec<(u64, ReplicaId)> = fit.map(|(id, r)| (self.rank(session, r), *id)).collect();
-        if order.len() > DRAWN {
-            // Of thousands only these are wanted: no need to sort the others.
-            order.select_nth_unstable(DRAWN);
-            order.truncate(DRAWN);
-        }
+        let mut order: Vec<_> = fit.map(|(id, r)| (!near(r), self.rank(session, r), *id)).collect();
         order.sort_unstable();
-        order.into_iter().map(|place| place.1).collect()
+        let beyond = order.iter().position(|place| place.0).filter(|at| *at > ASKED);
+        beyond.into_iter().for_each(|at| order.swap(ASKED, at));
+        let most = ASKED + usize::from(order.get(ASKED).is_some_and(|place| place.0));
+        order.into_iter().take(most).map(|place| place.2).collect()
     }
 
     fn homes(&self, arrival: &Arrival) -> Vec<ReplicaId> {
@@ -390,40 +288,33 @@
     /// The place of a replica in a session's order, lowest first: larger ones come first more often.
     fn rank(&self, session: u64, r: &Replica) -> u64 {
         let size = r.size.unwrap_or_else(|| 1.0 / self.learned.pace_of(r.kind));
-        let size = if r.zone == self.settings.zone { size * self.nearness.exp() } else { size };
         micros(-r.chance(session).max(f64::MIN_POSITIVE).ln() / size)
     }
 
-    /// Draws among the replicas with room, by the prompt tokens to be read there before the first token.
+    /// Draws among the replicas with room, by what a send would come to. Among many routers only those of the
+    /// session's order count: they have just been asked.
     fn draw(&mut self, id: RequestId) -> Option<Attempt> {
         let request = &self.requests[&id];
-        let home = self.homes(&request.arrival).first().copied();
         let pooled = self.pool_free(request.tier);
         let open = |_: &ReplicaId, r: &Replica| self.has_room(r, pooled) && self.may_go(request, r);
-        let tried = |to: &ReplicaId| request.attempts.iter().any(|a| a.replica == *to);
-        let mut order = self.order(&request.arrival, |to, r| open(to, r) && !tried(to));
+        let new =
+            |to: &ReplicaId, r: &Replica| open(to, r) && !request.attempts.iter().any(|a| a.replica == *to);
+        let fit = |will_do: &dyn Fn(&ReplicaId, &Replica) -> bool| match self.pool.rare > 1.0 {
+            true => self.order(&request.arrival, will_do),
+            false => self.replicas.iter().filter(|(to, r)| will_do(to, r)).map(|(to, _)| *to).collect(),
+        };
+        let mut order = fit(&new);
         if order.is_empty() {
-            order = self.order(&request.arrival, open);
+            order = fit(&open);
         }
-        let spare = self.backlog.tiers[request.tier].spare;
-        let (prompt, prefix) = (request.arrival.prompt_tokens, request.arrival.prefix_tokens);
+        let outlook = self.outlook(request);
         let (mut chosen, mut total) = (None, 0.0);
         for to in order {
             let r = &self.replicas[&to];
-            let waiting = self.tokens_waiting(r);
-            if spare && waiting > SPARE_TOKENS {
-                continue;
-            }
-            let unread = prompt.saturating_sub(if home == Some(to) { prompt } else { prefix }) as f64;
-            let queued = r.queue_ahead() * QUEUED * self.freshness(r);
-            let ahead = (waiting * WAITING_SHARE + unread) / BASE_TOKENS + queued;
-            let busy = CROWD * (r.memory_held / self.learned.held_of(r.kind) - 1.0).max(0.0);
-            let ahead = ahead + busy + if r.asked { NO_ANSWER } else { 0.0 };
-            let free = 1.0 + LEAST_WEIGHT - r.memory_held.clamp(0.0, 1.0);
-            let weight = free / (1.0 + ahead).powf(DRAW_POWER);
-            total += weight;
-            if self.rng.rand_float() * total <= weight {
-                chosen = Some(Attempt::new(to, self.now, unread));
+            let g = self.guess(to, r, &outlook);
+            total += g.weight;
+            if self.rng.rand_float() * total <= g.weight {
+                chosen = Some(Attempt::new(to, self.now, g.unread, g.kept, g.first));
             }
         }
         chosen
@@ -464,23 +355,17 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(a) = request.attempts.get_mut(attempt).filter(|a| a.phase == Phase::Waiting) else { return };
         a.phase = Phase::Streaming;
-        let (unread, replica, aim, class) = (a.unread, a.replica, request.aim, request.arrival.class);
+        let (unread, replica, estimate) = (a.unread, a.replica, a.estimate);
+        let late = request.aim * LATE_PART;
         let held = a.sent - request.arrived;
         self.hold(id, false);
         self.call_off(id, out);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
         r.own_unread = (r.own_unread - unread).max(0.0);
-        let (kind, near) = (r.kind, r.zone == self.settings.zone);
-        let class = &self.settings.classes[class];
-        let calm = (aim * LATE_PART).min(class.token_aim * LATE_TOKENS);
-        let late = (calm + unread * READ_SLACK * class.aim_per_prompt_token).min(aim);
-        let most = (NEAR_MOST * self.settings.prices.cross_zone).ln_1p();
-        let step = if elapsed > late { -NEAR_CUT } else { NEAR_GROWTH };
-        if near && (elapsed > late || elapsed <= late / 2.0) {
-            self.nearness = (self.nearness + step).clamp(0.0, most);
-        }
+        r.judged(estimate, elapsed);
+        let kind = r.kind;
         self.learned.first += LEARN * (elapsed - self.learned.first);
-        self.learned.pace(kind, elapsed.max(0.001) / (unread + BASE_TOKENS), PACE_SAMPLES);
+        self.learned.pace(kind, elapsed.max(0.001) / (unread + BASE_TOKENS));
         if elapsed > late {
             // Departure: where replicas are replaced all day nothing is kept and first tokens are late. The
             // pool shrank until requests waited longer here than there, with room everywhere.
@@ -506,14 +391,6 @@
         }
     }
 
-    fn take_report(&mut self, replica: ReplicaId, report: Option<Report>) {
-        if let (Some(r), Some(report)) = (self.replicas.get_mut(&replica), report) {
-            r.take_report(report, self.now);
-            self.learned.held(r.kind, r.memory_held, LEARN);
-            self.learned.typical += LEARN * (r.reported - self.learned.typical);
-        }
-    }
-
     fn ended(&mut self, event: Event, out: &mut Vec<Action>) {
         let Event::Ended { request: id, attempt, outcome, last, report } = event else { return };
         let found = self.requests.get(&id).and_then(|r| r.attempts.get(attempt));
@@ -526,6 +403,13 @@
         let may_have_run = !matches!(outcome, Full | ConnectFailed | Moot | Rejected);
         let ended = self.requests.get_mut(&id).and_then(|r| r.end_attempt(attempt, may_have_run));
         let Some((replica, sent, unread)) = ended else { return };
+        // A report at an answer's end was made while the replica still held it.
+        self.take_report(replica, report);
+        if let Some(found) = report.and_then(|r| r.kept).filter(|_| outcome == Served) {
+            if let Some(request) = self.requests.get(&id) {
+                self.learned.found(&request.arrival, &request.attempts[attempt], found, LEARN / 2.0);
+            }
+        }
         if let Some(r) = self.replicas.get_mut(&replica) {
             r.in_flight = r.in_flight.saturating_sub(1);
             r.own_unread = (r.own_unread - unread).max(0.0);
@@ -536,7 +420,8 @@
                     r.paused_until = if Self::ejected(r) { self.now } else { r.paused_until };
                     r.broken = 0;
                 }
-                self.learned.hold_time += LEARN * (self.now - sent - self.learned.hold_time);
+                let kind = self.replicas.get(&replica).map_or(0, |r| r.kind);
+                self.learned.hold(kind, self.now - sent, LEARN / 2.0);
                 self.alive(replica, true);
             }
             Outcome::Full => {
@@ -561,7 +446,6 @@
             Outcome::Rejected => self.alive(replica, false),
             Outcome::Cancelled | Outcome::Moot => {}
         }
-        self.take_report(replica, report);
         if last {
             self.close(id, out);
         } else if outcome == Rejected && self.requests.get(&id).is_some_and(|r| !r.ended) {
@@ -607,27 +491,12 @@
         self.close(id, out);
     }
 
-    /// The request has its end; attempts still out are called off and free their slots when they end.
-    fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        self.hold(id, false);
-        self.parked.retain(|p| *p != id);
-        self.call_off(id, out);
-        self.requests.entry(id).and_modify(|r| r.ended = true);
-        self.forget(id);
-    }
-
     fn call_off(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let request = self.requests.get_mut(&id).filter(|_| self.settings.limits.cancel);
         let called = request.map(Request::call_off).into_iter().flatten();
         out.extend(called.map(|attempt| Action::Cancel { request: id, attempt }));
     }
 
-    fn forget(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|r| r.ended && r.out().next().is_none()) {
-            self.requests.remove(&id);
-        }
-    }
-
     fn tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Wake { after: TICK });
         if self.settings.discovery == Discovery::Asked && self.ask_at.is_some_and(|at| self.now >= at) {
--- /dev/null
+++ b/src/brain/estimate.rs
@@ -0,0 +1,127 @@
+//! What a send would come to: the time to its first token at a replica, and what going there costs.
+//!
+//! Departure: one estimate in seconds takes the place of weights in tokens, queue places and zones, whose
+//! units meant something else at each site; `docs/design.md` has each term's figures. Types: `interface.rs`.
+
+use super::*;
+
+/// A report counts less with age and is worth nothing after this long.
+const REPORT_LIFE: Seconds = 3.0;
+/// Prompt tokens that every request is taken to cost beyond its own: connecting, a step, the first token.
+pub(super) const BASE_TOKENS: f64 = 500.0;
+/// Waiting tokens are read beside others' answers: they delay a new prompt by this part of their reading.
+const WAITING_SHARE: f64 = 0.4;
+/// Places in a batch where no report has shown any: the least that such servers run with.
+const FIRST_BATCH: f64 = 16.0;
+/// What others hold at a replica is told at answers' ends, and may be late: the part that is believed.
+const TRUST: f64 = 0.3;
+/// Variance of what is held now, in requests squared, where a report has just come.
+const HELD_VARIANCE: f64 = 0.2;
+/// A place in a batch is waited for this much longer than an even spread of ends would have it: ends bunch.
+const BUNCHED: f64 = 1.5;
+/// What a replica's last answers were off by counts with so many of its kind's that were as estimated.
+const TAIL_PRIOR: f64 = 4.0;
+/// What a replica's last estimates were off by is forgotten in this time.
+const TAIL_LIFE: Seconds = 5.0;
+/// A replica that leaves a probe unanswered for a tick is taken to keep a request this much longer.
+const NO_ANSWER: Seconds = 0.3;
+/// A second of reading is taken from all requests there: what it costs, in requests.
+const WORK_PRICE: f64 = 0.6;
+/// A place taken is one that later requests lack: what a full batch, or a full memory, costs, in requests.
+const PLACE_PRICE: f64 = 0.3;
+/// Costs differ by less than this, in requests, where the draw shall be nearly even.
+const EVEN: f64 = 0.005;
+/// A replica whose memory is full is drawn this much as often as an empty one, not never.
+const LEAST_WEIGHT: f64 = 0.05;
+
+/// What a request is, as far as an estimate needs it, and what the router holds: the same for all candidates.
+pub(super) struct Outlook {
+    prompt: f64,
+    prefix: f64,
+    place: Option<(ReplicaId, f64)>,
+    home: Option<ReplicaId>,
+    /// Time until a first token earns nothing, seconds.
+    left: Seconds,
+    /// Requests of other routers at a replica, the mean.
+    others: f64,
+}
+
+/// What a send to one replica would come to.
+pub(super) struct Guess {
+    /// Time to the first token, seconds, from the send.
+    pub(super) first: Seconds,
+    /// Prompt tokens to be read there.
+    pub(super) unread: f64,
+    pub(super) kept: Kept,
+    /// How often it is drawn beside others.
+    pub(super) weight: f64,
+}
+
+impl Brain {
+    /// How much a replica's last report still counts, from 1 when new to 0.
+    pub(super) fn freshness(&self, r: &Replica) -> f64 {
+        (1.0 - (self.now - r.reported_at) / REPORT_LIFE).max(0.0)
+    }
+
+    /// Prompt tokens that will be read at `r` before a request sent now, without its own.
+    pub(super) fn tokens_waiting(&self, r: &Replica) -> f64 {
+        let weight = self.freshness(r);
+        r.reported * weight + self.learned.typical * (1.0 - weight) + r.own_unread
+    }
+
+    pub(super) fn outlook(&self, request: &Request) -> Outlook {
+        let a = &request.arrival;
+        let prompt = a.prompt_tokens as f64;
+        let place = a.session.and_then(|s| self.learned.places.get(s));
+        let home = if place.is_none() { self.homes(a).first().copied() } else { None };
+        let (out, up) =
+            self.replicas.values().filter(|r| r.up).fold((0, 0), |(o, n), r| (o + r.in_flight, n + 1));
+        let others = (self.settings.routers - 1) as f64 * out as f64 / up.max(1) as f64;
+        let left = (request.useful_until - self.now).max(EXPIRY_MARGIN);
+        Outlook { prompt, prefix: (a.prefix_tokens as f64).min(prompt), place, home, left, others }
+    }
+
+    /// What would be found kept: the turns before where this router sent them, else what homes have shown.
+    fn kept(&self, o: &Outlook, to: ReplicaId) -> (f64, Kept) {
+        let kept = |how: Kept| self.learned.kept[how as usize];
+        let opening = o.prefix * kept(Kept::Opening);
+        match o.place {
+            Some((at, read)) if at == to => {
+                (opening.max(read.min(o.prompt) * kept(Kept::Turns)), Kept::Turns)
+            }
+            None if o.home == Some(to) => (opening + (o.prompt - o.prefix) * kept(Kept::Home), Kept::Home),
+            _ => (opening, Kept::Opening),
+        }
+    }
+
+    /// Reading, waiting for a place in the batch, and how far the last answers there ran over.
+    pub(super) fn guess(&self, to: ReplicaId, r: &Replica, o: &Outlook) -> Guess {
+        let (found, kept) = self.kept(o, to);
+        let unread = o.prompt - found;
+        let pace = self.learned.pace_of(r.kind) * FIRST_PACE;
+        let hold = self.learned.hold_of(r.kind);
+        // The others' requests drift from what the last report showed to the mean as answers end.
+        let known = (-(self.now - r.reported_at) / hold).exp();
+        let shown = r.holding.map_or(o.others, |(held, own)| (held - own as f64).max(0.0));
+        let held = r.in_flight as f64 + o.others + (shown - o.others) * known * TRUST;
+        let batch = r.batch.unwrap_or_else(|| self.learned.batch_of(r.kind, FIRST_BATCH));
+        // The mean of what is over a full batch, with held normal about its mean (a logistic stands for it).
+        let spread = (o.others.max(0.1) * (1.0 - known * known) + HELD_VARIANCE).sqrt() / 1.7;
+        let over = ((held + 1.0 - batch) / spread).min(30.0);
+        let mut wait = (over.exp().ln_1p() * spread).max(held + 1.0 - batch) * hold / batch * BUNCHED;
+        if r.holding.is_none() {
+            wait += r.queued * self.freshness(r) * hold / batch * BUNCHED;
+        }
+        let reading = (self.tokens_waiting(r) * WAITING_SHARE + unread + BASE_TOKENS) * pace;
+        let tail = r.tail.shrunk(TAIL_PRIOR) * (-(self.now - r.life) / TAIL_LIFE).exp();
+        let first = (reading + wait) * tail.exp() + if r.asked { NO_ANSWER } else { 0.0 };
+        // The chance to be late, with errors about as large as the estimate.
+        let late = first * first / (first * first + o.left * o.left);
+        let crossing = if r.zone == self.settings.zone { 0.0 } else { self.settings.prices.cross_zone };
+        let taken = (held / batch * hold / self.learned.hold_time).min(8.0);
+        let cost =
+            late + crossing + WORK_PRICE * unread * pace + PLACE_PRICE * (taken + r.memory_held.min(1.0));
+        let free = 1.0 + LEAST_WEIGHT - r.memory_held.clamp(0.0, 1.0);
+        Guess { first, unread, kept, weight: free * (-cost / EVEN).exp() }
+    }
+}
--- /dev/null
+++ b/src/brain/ledger.rs
@@ -0,0 +1,93 @@
+//! The module's books: what is held, out, ended and reported. No rule stands here; the types are in
+//! `interface.rs`.
+
+use super::*;
+use std::collections::BTreeMap;
+
+/// The decisions of one router.
+pub struct Brain {
+    pub(super) settings: Settings,
+    pub(super) rng: Rand64,
+    pub(super) now: Seconds,
+    pub(super) started: bool,
+    pub(super) backlog: Backlog,
+    pub(super) requests: BTreeMap<RequestId, Request>,
+    pub(super) parked: Vec<RequestId>,
+    pub(super) replicas: BTreeMap<ReplicaId, Replica>,
+    /// For each tenant, what is left of its allowance.
+    pub(super) allowances: Vec<Allowance>,
+    /// Most of the fleet seems out: then the cause is shared, and sending to none of it would help nobody.
+    pub(super) most_ejected: bool,
+    pub(super) arrivals: u64,
+    pub(super) learned: Learned,
+    pub(super) pool: Pool,
+    pub(super) ask_at: Option<Seconds>,
+}
+
+impl Brain {
+    /// A router that knows no replica yet. The same settings, seed and events give the same actions.
+    pub fn new(settings: Settings, seed: u64) -> Result<Brain, SettingsError> {
+        settings.check()?;
+        let tenants = settings.tenants.len().max(1);
+        Ok(Brain {
+            backlog: Backlog::new(&settings),
+            allowances: vec![Allowance::default(); tenants],
+            rng: Rand64::new(u128::from(seed)),
+            settings,
+            now: 0.0,
+            started: false,
+            requests: BTreeMap::new(),
+            parked: Vec::new(),
+            replicas: BTreeMap::new(),
+            most_ejected: false,
+            arrivals: 0,
+            learned: Learned::new(RATE_HORIZON),
+            pool: Pool::new(),
+            ask_at: None,
+        })
+    }
+
+    /// For the log: requests that may be out together and are, those held by tenant, replicas in mind.
+    pub fn gauges(&self) -> (f64, usize, Vec<usize>, usize) {
+        (self.pool.size, self.pool_in_flight(), self.backlog.waiting(), self.replicas.len())
+    }
+
+    pub(super) fn unpark(&mut self) {
+        for id in std::mem::take(&mut self.parked) {
+            self.hold(id, true);
+        }
+    }
+
+    pub(super) fn hold(&mut self, id: RequestId, held: bool) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            self.backlog.hold(id, request, held);
+        }
+    }
+
+    pub(super) fn pool_in_flight(&self) -> usize {
+        self.replicas.values().filter(|r| r.up && !self.cold(r)).map(|r| r.in_flight).sum()
+    }
+
+    pub(super) fn take_report(&mut self, replica: ReplicaId, report: Option<Report>) {
+        if let (Some(r), Some(report)) = (self.replicas.get_mut(&replica), report) {
+            r.take_report(report, self.now);
+            r.batch.map(|batch| self.learned.batches.insert(r.kind, batch));
+            self.learned.typical += LEARN * (r.reported - self.learned.typical);
+        }
+    }
+
+    /// The request has its end; attempts still out are called off and free their slots when they end.
+    pub(super) fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        self.hold(id, false);
+        self.parked.retain(|p| *p != id);
+        self.call_off(id, out);
+        self.requests.entry(id).and_modify(|r| r.ended = true);
+        self.forget(id);
+    }
+
+    pub(super) fn forget(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|r| r.ended && r.out().next().is_none()) {
+            self.requests.remove(&id);
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -200,6 +200,8 @@
     pub holding: Option<f64>,
     /// Requests waiting there for a place in the batch.
     pub queued: Option<f64>,
+    /// Prompt tokens of this answer that the replica found kept.
+    pub kept: Option<f64>,
 }
 
 /// A client's request.
--- a/src/protocol/answer.rs
+++ b/src/protocol/answer.rs
@@ -82,7 +82,7 @@
                     self.start(steps);
                 }
                 self.done = true;
-                steps.push(Step::Done(Outcome::Served, self.scan.report().or(self.report)));
+                steps.push(Step::Done(Outcome::Served, self.last_report()));
             }
         }
     }
@@ -90,7 +90,16 @@
     /// The connection broke, or ended before the answer did.
     pub fn broke(&mut self, steps: &mut Vec<Step>) {
         if !std::mem::replace(&mut self.done, true) {
-            steps.push(Step::Done(Outcome::Reset, self.scan.report().or(self.report)));
+            steps.push(Step::Done(Outcome::Reset, self.last_report()));
+        }
+    }
+
+    /// The report in the stream, else the one in its head; what was found kept goes with either.
+    fn last_report(&self) -> Option<Report> {
+        let told = self.scan.report();
+        match self.report.filter(|_| !self.scan.reported()) {
+            Some(head) => Some(Report { kept: told.and_then(|r| r.kept), ..head }),
+            None => told,
         }
     }
 
--- a/src/protocol/events.rs
+++ b/src/protocol/events.rs
@@ -1,9 +1,10 @@
-//! The event stream of an answer, looked at while it passes: where its first event ends, and the load report
-//! in a comment line. Nothing is changed.
+//! The event stream of an answer, looked at while it passes: where its first event ends, the load report in a
+//! comment line, and how much of the prompt was found kept. Nothing is changed.
 
 use crate::interface::Report;
 use crate::protocol::report::report;
 use crate::wire::Boot;
+use serde_json::Value;
 
 /// Lines longer than this are events for certain and are not kept to be looked at.
 const MOST_LINE: usize = 4096;
@@ -16,6 +17,7 @@
     events: u64,
     since: usize,
     report: Option<Report>,
+    kept: Option<f64>,
 }
 
 impl Scan {
@@ -44,6 +46,7 @@
             self.report = value.and_then(|(_, value)| report(value, boot)).or(self.report);
         } else {
             self.has_data = true;
+            self.kept = line.strip_prefix(b"data:").and_then(kept).or(self.kept);
         }
     }
 
@@ -55,8 +58,21 @@
     pub fn unfinished(&self) -> usize {
         self.since
     }
-    /// The newest load report.
+    /// Whether a load report has come.
+    pub fn reported(&self) -> bool {
+        self.report.is_some()
+    }
+    /// The newest load report, with the kept part of the prompt where the stream told it.
     pub fn report(&self) -> Option<Report> {
-        self.report
+        let kept = self.kept.map(|_| Report { kept: self.kept, ..self.report.unwrap_or_default() });
+        kept.or(self.report)
     }
 }
+
+/// Prompt tokens found kept, in an event with a usage; most events have none and are not parsed.
+fn kept(data: &[u8]) -> Option<f64> {
+    const KEY: &[u8] = b"\"cached_tokens\"";
+    data.windows(KEY.len()).any(|part| part == KEY).then_some(())?;
+    let event: Value = serde_json::from_slice(data).ok()?;
+    event["usage"]["prompt_tokens_details"]["cached_tokens"].as_u64().map(|tokens| tokens as f64)
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,11 +10,25 @@
     Done { may_have_run: bool },
 }
 
+/// What a request was sent to a replica for, beside its room.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub(crate) enum Kept {
+    /// At most the opening that its prompt shares with others.
+    Opening,
+    /// It is the home of its session, whose earlier turns this router has not seen.
+    Home,
+    /// This router sent the turns before there.
+    Turns,
+}
+
 pub(crate) struct Attempt {
     pub(crate) replica: ReplicaId,
     pub(crate) sent: Seconds,
     /// Its own prompt tokens still to be read there.
     pub(crate) unread: f64,
+    pub(crate) kept: Kept,
+    /// Estimated time to the first token, seconds.
+    pub(crate) estimate: Seconds,
     pub(crate) phase: Phase,
     pub(crate) cancelled: bool,
 }
@@ -124,6 +138,8 @@
     /// Requests its batch holds, learned from a report with some queued; unknown at first.
     pub(crate) batch: Option<f64>,
     pub(crate) life: Seconds,
+    /// Logarithm of how far its last first tokens ran over their estimate.
+    pub(crate) tail: Mean,
     pub(crate) failures: u32,
     /// Streams in a row that stalled or broke after their first token, and when the last of these did.
     pub(crate) broken: u32,
@@ -176,7 +192,14 @@
 }
 
 impl Backlog {
-    pub(crate) fn new(worths: Vec<f64>, least: f64, tenants: usize) -> Self {
+    /// A tier for each worth there is, within a share and beyond it.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let (classes, tenants) = (&settings.classes, settings.tenants.len().max(1));
+        let over = if settings.tenants.is_empty() { 1.0 } else { settings.over_share_worth };
+        let mut worths: Vec<f64> = classes.iter().flat_map(|c| [c.worth, c.worth * over]).collect();
+        worths.sort_by(|a, b| b.total_cmp(a));
+        worths.dedup();
+        let least = classes.iter().map(|c| c.worth).fold(f64::INFINITY, f64::min);
         let tiers = worths.into_iter().map(|worth| Tier::new(worth, worth < least, tenants)).collect();
         Backlog { tiers, expiry: BTreeSet::new() }
     }
@@ -218,8 +241,8 @@
 }
 
 impl Attempt {
-    pub(crate) fn new(replica: ReplicaId, sent: Seconds, unread: f64) -> Self {
-        Attempt { replica, sent, unread, phase: Phase::Waiting, cancelled: false }
+    pub(crate) fn new(replica: ReplicaId, sent: Seconds, unread: f64, kept: Kept, estimate: Seconds) -> Self {
+        Attempt { replica, sent, unread, kept, estimate, phase: Phase::Waiting, cancelled: false }
     }
 }
 
@@ -245,6 +268,7 @@
             holding: None,
             batch: None,
             life: 0.0,
+            tail: Mean::default(),
             failures: 0,
             broken: 0,
             broke_at: f64::NEG_INFINITY,
@@ -274,6 +298,13 @@
         self.paused_until = 0.0;
     }
 
+    /// Holds the time to a first token against its estimate.
+    pub(crate) fn judged(&mut self, estimate: Seconds, elapsed: Seconds) {
+        if estimate > 0.0 {
+            self.tail.add((elapsed.max(0.005) / estimate).ln().clamp(-2.0, 3.0), TAIL_SAMPLES);
+        }
+    }
+
     /// Counts a failure in a row. A replica that fails at once frees room at once, and would draw every held
     /// request: after so many it is paused.
     pub(crate) fn failed(&mut self, now: Seconds, most: u32, pause: Seconds) {
@@ -319,13 +350,46 @@
             }
         }
     }
+}
+
+/// A mean over the last so many samples.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Mean {
+    count: f64,
+    value: f64,
+}
+
+impl Mean {
+    pub(crate) fn add(&mut self, sample: f64, most: f64) {
+        self.count = (self.count + 1.0).min(most);
+        self.value += (sample - self.value) / self.count;
+    }
+    /// The mean with so many samples of nothing beside its own.
+    pub(crate) fn shrunk(&self, prior: f64) -> f64 {
+        self.value * self.count / (self.count + prior)
+    }
+}
 
-    /// Requests waiting for a place in the batch now: what it last reported holding, with what this router has
-    /// sent and seen end since, beyond its batch; where the batch is not known, what it reported queued.
-    pub(crate) fn queue_ahead(&self) -> f64 {
-        match (self.holding, self.batch) {
-            (Some((held, own)), Some(batch)) => (held + self.in_flight as f64 - own as f64 - batch).max(0.0),
-            _ => self.queued,
+/// Sessions remembered; the oldest is forgotten for a new one.
+const MOST_PLACES: usize = 16_384;
+
+/// Where this router sent the last turn of its sessions, and how many prompt tokens were read there.
+#[derive(Default)]
+pub(crate) struct Places {
+    at: BTreeMap<u64, (ReplicaId, f64)>,
+    order: VecDeque<u64>,
+}
+
+impl Places {
+    pub(crate) fn get(&self, session: u64) -> Option<(ReplicaId, f64)> {
+        self.at.get(&session).copied()
+    }
+    pub(crate) fn put(&mut self, session: u64, replica: ReplicaId, tokens: f64) {
+        if self.at.insert(session, (replica, tokens)).is_none() {
+            self.order.push_back(session);
+        }
+        if self.order.len() > MOST_PLACES {
+            self.order.pop_front().map(|oldest| self.at.remove(&oldest));
         }
     }
 }
@@ -372,8 +436,14 @@
     (time * 1e6) as u64
 }
 
-/// Time for a prompt token before any was seen; kinds are only compared with each other.
-const FIRST_PACE: Seconds = 0.0005;
+/// Time for a prompt token before any was seen.
+pub(crate) const FIRST_PACE: Seconds = 0.0005;
+
+/// The pace of a kind of replica is a mean over so many first tokens, so that homes do not wander with it.
+const PACE_SAMPLES: f64 = 400.0;
+
+/// How far a replica's answers ran over their estimates is a mean over so many.
+const TAIL_SAMPLES: f64 = 4.0;
 
 /// No replica can have so many prompt tokens waiting; a report of more is no report.
 const MOST_TOKENS: f64 = 1e9;
@@ -391,8 +461,13 @@
     pub(crate) hold_time: Seconds,
     /// For each kind of replica, first tokens seen and their mean logarithm of time for a token read.
     pub(crate) paces: BTreeMap<usize, (f64, f64)>,
-    /// Mean share of memory held, for each kind of replica.
-    pub(crate) memory: BTreeMap<usize, f64>,
+    /// Mean time from the send to the end of an answer, for each kind of replica.
+    pub(crate) holds: BTreeMap<usize, Seconds>,
+    /// Requests that a batch holds, as last shown by a replica of each kind.
+    pub(crate) batches: BTreeMap<usize, f64>,
+    /// For each [`Kept`], the part of what was expected that was found kept.
+    pub(crate) kept: [f64; 3],
+    pub(crate) places: Places,
     /// Mean reported prompt tokens waiting, for replicas without a report.
     pub(crate) typical: f64,
 }
@@ -407,7 +482,11 @@
             sent,
             hold_time: 1.0,
             paces: BTreeMap::new(),
-            memory: BTreeMap::new(),
+            holds: BTreeMap::new(),
+            batches: BTreeMap::new(),
+            // Of a session that this router does not know little is known: less than half are later turns.
+            kept: [1.0, 0.3, 1.0],
+            places: Places::default(),
             typical: 0.0,
         }
     }
@@ -415,19 +494,42 @@
 
 impl Learned {
     /// Takes one sample of a kind's time for a token; the mean is over the last so many, geometric.
-    pub(crate) fn pace(&mut self, kind: usize, sample: Seconds, samples: f64) {
-        let (count, mean) = self.paces.entry(kind).or_insert((samples / 100.0, 0.0));
-        *count = (*count + 1.0).min(samples);
+    pub(crate) fn pace(&mut self, kind: usize, sample: Seconds) {
+        let (count, mean) = self.paces.entry(kind).or_insert((PACE_SAMPLES / 100.0, 0.0));
+        *count = (*count + 1.0).min(PACE_SAMPLES);
         *mean += ((sample / FIRST_PACE).ln() - *mean) / *count;
     }
-    /// Takes one report of memory held at a replica of this kind.
-    pub(crate) fn held(&mut self, kind: usize, share: f64, weight: f64) {
-        let mean = self.memory.entry(kind).or_insert(share);
-        *mean += weight * (share - *mean);
+    /// Takes what an answer found kept of its prompt: how far homes, and the places of turns, can be relied on.
+    pub(crate) fn found(&mut self, arrival: &Arrival, sent: &Attempt, found: f64, weight: f64) {
+        let prompt = arrival.prompt_tokens as f64;
+        let prefix = (arrival.prefix_tokens as f64).min(prompt);
+        let read = arrival.session.and_then(|s| self.places.get(s)).map_or(0.0, |p| p.1.min(prompt));
+        let (found, due) = match sent.kept {
+            Kept::Opening => (found, prefix),
+            Kept::Home => (found - prefix, prompt - prefix),
+            Kept::Turns => (found, read),
+        };
+        if due >= 1.0 {
+            let mean = &mut self.kept[sent.kept as usize];
+            *mean += weight * ((found / due).clamp(0.0, 1.0) - *mean);
+        }
+        if let Some(session) = arrival.session {
+            self.places.put(session, sent.replica, prompt);
+        }
+    }
+    /// Takes the time one answer held its place.
+    pub(crate) fn hold(&mut self, kind: usize, sample: Seconds, weight: f64) {
+        self.hold_time += 2.0 * weight * (sample - self.hold_time);
+        let mean = self.holds.entry(kind).or_insert(self.hold_time);
+        *mean += weight * (sample - *mean);
+    }
+    pub(crate) fn hold_of(&self, kind: usize) -> Seconds {
+        self.holds.get(&kind).copied().unwrap_or(self.hold_time)
     }
-    /// Mean share of memory held by a kind.
-    pub(crate) fn held_of(&self, kind: usize) -> f64 {
-        self.memory.get(&kind).map_or(1.0, |m| m.max(0.02))
+    /// Places in a batch of this kind, else of the largest kind seen, else the first guess.
+    pub(crate) fn batch_of(&self, kind: usize, first: f64) -> f64 {
+        let largest = || self.batches.values().copied().reduce(f64::max);
+        self.batches.get(&kind).copied().or_else(largest).unwrap_or(first)
     }
     /// As a multiple of the first guess: places in an order are whole numbers, and far smaller figures fell
     /// together there.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -287,8 +287,12 @@
                 let last = self.flag("closed")?;
                 self.replica()?;
                 let attempt = self.need("leg")?;
-                self.optional::<f64>("detail")?;
-                let report = self.report(&boot.fields)?;
+                let kept = self.optional::<f64>("detail")?;
+                let mut report = self.report(&boot.fields)?;
+                if outcome == Outcome::Served {
+                    // The wire writes no figure where nothing was kept.
+                    report.get_or_insert_default().kept = Some(kept.unwrap_or(0.0));
+                }
                 Event::Ended { request, attempt, outcome, last, report }
             }
             "opened" => {
