Learn batches from reported queues where reports do not say what a server holds

Seen by building one change at a time: one kind of server there has a batch of about nine; Lima's reports name no requests held, so its batch was taken for 16 and 25% of answers were late. Ruled out: lateness of streams by token aims, the rate of reading sent to a server, the weight of places alone.

Change: a report with a queue, against what this router has out there and as many again for each other router, shows the batch of the kind (Learned::queue_shown in src/state.rs); half of such a guess is believed in the price of a place.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -311,10 +311,10 @@
         let (mut chosen, mut total) = (None, 0.0);
         for to in order {
             let r = &self.replicas[&to];
-            let g = self.guess(to, r, &outlook);
-            total += g.weight;
-            if self.rng.rand_float() * total <= g.weight {
-                chosen = Some(Attempt::new(to, self.now, g.unread, g.kept, g.first));
+            let (attempt, weight) = self.guess(to, r, &outlook);
+            total += weight;
+            if self.rng.rand_float() * total <= weight {
+                chosen = Some(attempt);
             }
         }
         chosen
--- a/src/brain/estimate.rs
+++ b/src/brain/estimate.rs
@@ -17,8 +17,6 @@
 const TRUST: f64 = 0.3;
 /// Variance of what is held now, in requests squared, where a report has just come.
 const HELD_VARIANCE: f64 = 0.2;
-/// A place in a batch is waited for this much longer than an even spread of ends would have it: ends bunch.
-const BUNCHED: f64 = 1.5;
 /// What a replica's last answers were off by counts beside so many as estimated; forgotten in this time.
 const TAIL_PRIOR: f64 = 4.0;
 const TAIL_LIFE: Seconds = 5.0;
@@ -47,15 +45,6 @@
     others: f64,
 }
 
-/// What a send to one replica would come to: the time to its first token, and the prompt tokens it must read.
-pub(super) struct Guess {
-    pub(super) first: Seconds,
-    pub(super) unread: f64,
-    pub(super) kept: Kept,
-    /// How often it is drawn beside others.
-    pub(super) weight: f64,
-}
-
 impl Brain {
     /// How much a replica's last report still counts, from 1 when new to 0.
     pub(super) fn freshness(&self, r: &Replica) -> f64 {
@@ -73,11 +62,15 @@
         let prompt = a.prompt_tokens as f64;
         let place = a.session.and_then(|s| self.learned.places.get(s));
         let home = if place.is_none() { self.homes(a).first().copied() } else { None };
-        let (out, up) =
-            self.replicas.values().filter(|r| r.up).fold((0, 0), |(o, n), r| (o + r.in_flight, n + 1));
-        let others = (self.settings.routers - 1) as f64 * out as f64 / up.max(1) as f64;
         let left = (request.useful_until - self.now).max(EXPIRY_MARGIN);
-        Outlook { prompt, prefix: (a.prefix_tokens as f64).min(prompt), place, home, left, others }
+        Outlook {
+            prompt,
+            prefix: (a.prefix_tokens as f64).min(prompt),
+            place,
+            home,
+            left,
+            others: self.others(),
+        }
     }
 
     /// What would be found kept: the turns before where this router sent them, else what homes have shown.
@@ -94,7 +87,8 @@
     }
 
     /// Reading, waiting for a place in the batch, and how far the last answers there ran over.
-    pub(super) fn guess(&self, to: ReplicaId, r: &Replica, o: &Outlook) -> Guess {
+    /// With it goes how often the replica is drawn beside others.
+    pub(super) fn guess(&self, to: ReplicaId, r: &Replica, o: &Outlook) -> (Attempt, f64) {
         let (found, kept) = self.kept(o, to);
         let unread = o.prompt - found;
         let pace = self.learned.pace_of(r.kind) * FIRST_PACE;
@@ -107,9 +101,9 @@
         // The mean of what is over a full batch, with held normal about its mean (a logistic stands for it).
         let spread = (o.others.max(0.1) * (1.0 - known * known) + HELD_VARIANCE).sqrt() / 1.7;
         let over = ((held + 1.0 - batch) / spread).min(30.0);
-        let mut wait = (over.exp().ln_1p() * spread).max(held + 1.0 - batch) * hold / batch * BUNCHED;
+        let mut wait = (over.exp().ln_1p() * spread).max(held + 1.0 - batch) * hold / batch;
         if r.holding.is_none() {
-            wait += r.queued * self.freshness(r) * hold / batch * BUNCHED;
+            wait += r.queued * self.freshness(r) * hold / batch;
         }
         if r.oldest.0 > r.life && self.now > r.oldest.1 {
             wait += SILENCE * (self.now - r.oldest.0).min(LONG_SILENCE);
@@ -120,10 +114,12 @@
         // The chance to be late, with errors about as large as the estimate.
         let late = first * first / (first * first + o.left * o.left);
         let crossing = if r.zone == self.settings.zone { 0.0 } else { self.settings.prices.cross_zone };
-        let taken = (held / batch * hold / self.learned.hold_time).min(8.0);
+        // Where reports do not say what a replica holds, half of this guess is believed.
+        let sure = if r.holding.is_some() { 1.0 } else { 0.5 };
+        let taken = (held / batch * hold / self.learned.hold_time * sure).min(8.0);
         let cost =
             late + crossing + WORK_PRICE * unread * pace + PLACE_PRICE * (taken + r.memory_held.min(1.0));
         let free = 1.0 + LEAST_WEIGHT - r.memory_held.clamp(0.0, 1.0);
-        Guess { first, unread, kept, weight: free * (-cost / EVEN).exp() }
+        (Attempt::new(to, self.now, unread, kept, first), free * (-cost / EVEN).exp())
     }
 }
--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -71,10 +71,23 @@
         self.replicas.values().filter(|r| r.up && !self.cold(r)).map(|r| r.in_flight).sum()
     }
 
+    /// Requests that all other routers have out at a replica, the mean, if each has as many out as this one.
+    pub(super) fn others(&self) -> f64 {
+        let up = self.replicas.values().filter(|r| r.up);
+        let (out, up) = up.fold((0, 0), |(out, up), r| (out + r.in_flight, up + 1));
+        (self.settings.routers - 1) as f64 * out as f64 / up.max(1) as f64
+    }
+
     pub(super) fn take_report(&mut self, replica: ReplicaId, report: Option<Report>) {
+        let others = self.others();
         if let (Some(r), Some(report)) = (self.replicas.get_mut(&replica), report) {
             r.take_report(report, self.now);
-            r.batch.map(|batch| self.learned.batches.insert(r.kind, batch));
+            match report.queued {
+                Some(queued) if report.holding.is_none() => {
+                    self.learned.queue_shown(r.kind, r.in_flight as f64 + others, queued);
+                }
+                _ => drop(r.batch.map(|batch| self.learned.batches.insert(r.kind, batch))),
+            }
             self.learned.typical += LEARN * (r.reported - self.learned.typical);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -458,6 +458,10 @@
 /// The pace of a kind of replica is a mean over so many first tokens, so that homes do not wander with it.
 const PACE_SAMPLES: f64 = 400.0;
 
+/// Weight of one guess of a batch, and the least that is believed of one.
+const GUESSED: f64 = 0.1;
+const LEAST_BATCH: f64 = 2.0;
+
 /// How far a replica's answers ran over their estimates is a mean over so many.
 const TAIL_SAMPLES: f64 = 4.0;
 
@@ -544,6 +548,16 @@
         let mean = self.holds.entry(kind).or_insert(self.hold_time);
         *mean += weight * (sample - *mean);
     }
+    /// Takes what a replica reported queued while it held about so many requests, where reports do not say how
+    /// many: with a queue its batch is what is left of them, without one it is no less than they are.
+    pub(crate) fn queue_shown(&mut self, kind: usize, held: f64, queued: f64) {
+        let known = self.batches.get(&kind).copied();
+        let sample = if queued >= 0.5 { (held - queued).max(LEAST_BATCH) } else { held };
+        if queued >= 0.5 || known.is_some_and(|batch| batch < held) {
+            let batch = known.unwrap_or(sample);
+            self.batches.insert(kind, batch + GUESSED * (sample - batch));
+        }
+    }
     pub(crate) fn hold_of(&self, kind: usize) -> Seconds {
         self.holds.get(&kind).copied().unwrap_or(self.hold_time)
     }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1313,3 +1313,32 @@
     }
     assert!(copied <= 3 + firsts / 8, "{copied} copies of {firsts} where nothing answers");
 }
+
+/// Guards against places in a batch taken for as many as the first guess where reports do not say what a replica
+/// holds: a queue while it held few shows a small batch, and requests then spread over what has room.
+#[test]
+fn a_reported_queue_shows_a_batch_where_reports_do_not_say_what_is_held() {
+    let second_elsewhere = |queued: f64| {
+        let mut elsewhere = 0;
+        for session in 0..20 {
+            let mut rig = Rig::new(settings(), 2);
+            let turn = |n: u64| Arrival { session: Some(100 * n + session), ..request(n, 0, 0, 5.0) };
+            for n in 10..30 {
+                rig.tell(Event::Arrived(turn(n)));
+                rig.tell(held(replica(n as usize % 2), None, queued));
+                rig.end(n, 0, Outcome::Cancelled, true);
+            }
+            let reports = [held(replica(0), None, 0.0), held(replica(1), None, 0.0)];
+            reports.into_iter().for_each(|report| drop(rig.tell(report)));
+            let sent: Vec<_> = (1..=6).flat_map(|n| sends(&rig.tell(Event::Arrived(turn(n))))).collect();
+            let first = sent.iter().filter(|s| s.1 == replica(0)).count();
+            elsewhere += usize::from(sent.len() == 6 && first == 3);
+        }
+        elsewhere
+    };
+    let (small, unknown) = (second_elsewhere(1.0), second_elsewhere(0.0));
+    assert!(
+        small >= 12 && small > unknown + 4,
+        "{small} of 20 evenly with a batch of 2, {unknown} with none shown"
+    );
+}
