Add the operators' address: ready, figures, drain and return; let a new version take over

Design: src/protocol/admin.rs reads calls and writes the figures, without I/O; src/transport/admin.rs is the driver, one call a connection, at most 32 callers, of whom the oldest makes room, so that silent ones hold nobody up. A drain is two more phases of the node's life that all connections follow already: Evacuating (each answer is the last on its connection, /healthz says no) and a second later Evacuated (connections without a request close); an order to stop stands over both. Figures come from the core (by class), the account of membership and the drivers. Rejected: figures in static counters, which a second core in one process would share, and handing the listening socket over a Unix socket to the new process, where SO_REUSEPORT does with less. A connection that has just come when idle ones are closed has 0.25 s for its request. Req-Cost is read, as the protocol says.

Tests: tests/admin.rs runs the program: a drain and the return, figures beside 40 silent callers, a second process that takes over.

--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -55,6 +55,11 @@
         (self.pool.size, self.pool_in_flight(), self.backlog.waiting(), self.replicas.len())
     }
 
+    /// Replicas listed that get nothing, or trials only.
+    pub fn avoided(&self) -> usize {
+        self.replicas.values().filter(|r| !r.gone && (!r.up || Self::ejected(r))).count()
+    }
+
     pub(super) fn unpark(&mut self) {
         for id in std::mem::take(&mut self.parked) {
             self.hold(id, true);
--- a/src/program/config/mod.rs
+++ b/src/program/config/mod.rs
@@ -43,6 +43,8 @@
     pub listen: SocketAddr,
     /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// Where operators call; without it they can't.
+    pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// The list as it last had it.
@@ -110,6 +112,11 @@
             name: text_of("name")?,
             listen: addr("listen")?,
             discovery: addr("discovery")?,
+            admin: match text_of("admin") {
+                Ok(_) => Some(addr("admin")?),
+                Err(_) if v["admin"].is_null() => None,
+                Err(wrong) => return Err(wrong),
+            },
             seed: seed(&v["seed"])?,
             known,
             boot,
--- a/src/program/files.rs
+++ b/src/program/files.rs
@@ -23,6 +23,9 @@
     /// Where discovery listens, in place of the configuration's
     #[arg(long, env = "GW_DISCOVERY", value_name = "ADDRESS")]
     pub(super) discovery: Option<String>,
+    /// Where operators call, in place of the configuration's
+    #[arg(long, env = "GW_ADMIN", value_name = "ADDRESS")]
+    admin: Option<String>,
 }
 
 fn text(what: &str, path: &Path) -> Result<String, String> {
@@ -31,14 +34,19 @@
 
 impl Over {
     pub(super) fn read(&self, path: &Path) -> Result<Config, String> {
-        let over = [("name", &self.name), ("listen", &self.listen), ("discovery", &self.discovery)];
+        let over = [
+            ("name", &self.name),
+            ("listen", &self.listen),
+            ("discovery", &self.discovery),
+            ("admin", &self.admin),
+        ];
         Config::read(&text("config", path)?, &over.map(|(key, value)| (key, value.as_deref())))
     }
 
     /// Reads the file again, at SIGHUP. The environment is that of the start and says what discovery was then:
     /// it must not hide what the replaced file says now.
     pub(super) fn reread(&self, path: &Path) -> Result<Config, String> {
-        let over = [("name", &self.name), ("listen", &self.listen)];
+        let over = [("name", &self.name), ("listen", &self.listen), ("admin", &self.admin)];
         Config::read(&text("config", path)?, &over.map(|(key, value)| (key, value.as_deref())))
     }
 }
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -4,6 +4,7 @@
 use super::config::Config;
 use crate::routing::directory::Directory;
 use crate::routing::Router;
+use crate::transport::admin::Admin;
 use crate::transport::client::Shared;
 use crate::transport::clock::Clock;
 use crate::transport::discovery::Watch;
@@ -15,15 +16,19 @@
 use crate::transport::streams::Streams;
 use crate::transport::upstream::Upstream;
 use crate::Brain;
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, LocalSet};
 
 /// Messages that wait for the core; drivers that tell more wait themselves.
 const MESSAGES: usize = 1024;
+/// Connections that the kernel holds until they are accepted.
+const BACKLOG: u32 = 1024;
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_millis(500);
 /// How often it is looked whether the last client has left.
@@ -46,6 +51,18 @@
     LocalSet::new().block_on(&runtime, run(config, operator, reread))
 }
 
+/// Listens beside another process of this node, too: a new version starts while the old one still serves.
+fn listen(key: &str, addr: SocketAddr) -> Result<TcpListener, String> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let listener = socket.and_then(|socket| {
+        socket.set_reuseaddr(true)?;
+        socket.set_reuseport(true)?;
+        socket.bind(addr)?;
+        socket.listen(BACKLOG)
+    });
+    listener.map_err(|e| format!("config: {key}: {addr}: {e}"))
+}
+
 async fn run(
     config: Config,
     operator: Operator,
@@ -55,14 +72,14 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     // Not caught, it would end the process. Caught it stays until the end, also while the node drains.
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|e| format!("config: listen: {}: {e}", config.listen))?;
+    let listener = listen("listen", config.listen)?;
+    let admins = config.admin.map(|addr| listen("admin", addr)).transpose()?;
     let bound = listener.local_addr().map_err(|e| format!("config: listen: {e}"))?;
     let brain = Brain::new(config.boot.settings.clone(), config.seed).map_err(|e| e.to_string())?;
     let (boot, bounds) = (Rc::new(config.boot), Rc::new(config.bounds));
     let (tell, told) = mpsc::channel(MESSAGES);
     let (phase, phases) = watch::channel(Phase::Serving);
+    let phase = Rc::new(phase);
     let pool = Pool::new(bounds.upstream, bounds.dial, bounds.idle);
     let clock = Clock::start();
     let streams = Rc::new(Streams::new(clock, operator.streams()));
@@ -72,6 +89,7 @@
         boot: boot.clone(),
         bounds: bounds.clone(),
         streams: streams.clone(),
+        written: Rc::default(),
     };
     let discovery = Watch::new(config.discovery, bounds.clone(), tell.clone());
     discovery.enable(operator.lists());
@@ -96,6 +114,13 @@
     let shared = Rc::new(Shared::new(boot, bounds.clone(), tell.clone(), phases.clone(), streams.clone()));
     spawn_local(accept(listener, shared.clone(), phases));
     tracing::info!(node = %config.name, listen = %bound, "serving on {bound}");
+    let admin = Rc::new(Admin { tell: tell.clone(), phase: phase.clone(), reloads: Cell::default() });
+    let (mut taken, mut turned_down) = (0, 0);
+    if let Some(listener) = admins {
+        let at = listener.local_addr().map_err(|e| format!("config: admin: {e}"))?;
+        tracing::info!(node = %config.name, admin = %at, "operators call at {at}");
+        spawn_local(admin.clone().serve(listener));
+    }
 
     loop {
         tokio::select! {
@@ -110,11 +135,16 @@
                     discovery.move_to(config.discovery);
                     lookups.set(operator.service());
                     streams.set(operator.streams());
+                    taken += 1;
                 }
                 // A bad file must not take down what serves by the good one before it.
-                Err(e) => tracing::error!(why = %e, "kept as it was"),
+                Err(e) => {
+                    tracing::error!(why = %e, "kept as it was");
+                    turned_down += 1;
+                }
             },
         }
+        admin.reloads.set((taken, turned_down));
     }
     tracing::info!(node = %config.name, "draining");
     let _ = phase.send(Phase::Draining);
--- /dev/null
+++ b/src/protocol/admin.rs
@@ -0,0 +1,81 @@
+//! Operators' calls and the figures they are given: bytes to meaning and back, no sockets.
+
+use super::http::{Head, Start};
+use super::request::Reject;
+use bytes::Bytes;
+use std::fmt::Write;
+
+/// What an operator can call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Ready,
+    /// The figures.
+    Telemetry,
+    /// Take no new clients and let those there are go.
+    Evacuate,
+    /// Back to work.
+    Rejoin,
+}
+
+/// What the figures say.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// For each class its name, and requests served, refused and failed since the start.
+    pub replies: Vec<(String, [u64; 3])>,
+    /// Attempts written whole to model servers.
+    pub dispatches: u64,
+    /// Requests taken and not ended.
+    pub concurrent: usize,
+    /// Model servers listed, and of these the ones avoided now.
+    pub targets: usize,
+    /// See there.
+    pub targets_disabled: usize,
+    /// Files taken and turned down at SIGHUP.
+    pub reloads: (u64, u64),
+}
+
+/// Reads which call a head is for.
+pub fn call(head: &Head) -> Result<Call, Reject> {
+    let Start::Request { method, target } = &head.start else {
+        return Err(Reject { status: 400, reason: "a request is expected".into() });
+    };
+    let (call, wanted) = match target.split('?').next().unwrap_or_default() {
+        "/api/ready" => (Call::Ready, "GET"),
+        "/api/telemetry" => (Call::Telemetry, "GET"),
+        "/api/evacuate" => (Call::Evacuate, "POST"),
+        "/api/rejoin" => (Call::Rejoin, "POST"),
+        other => return Err(Reject { status: 404, reason: format!("no call {other}") }),
+    };
+    match method == wanted {
+        true => Ok(call),
+        false => Err(Reject { status: 405, reason: format!("{wanted} is expected") }),
+    }
+}
+
+/// The answer that carries the figures, a line each.
+pub fn figures(f: &Figures) -> Bytes {
+    let mut body = String::new();
+    for (class, counts) in &f.replies {
+        for (status, count) in ["success", "overload", "error"].iter().zip(counts) {
+            let class = class.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
+            let _ = writeln!(body, "app_replies{{type=\"{class}\",status=\"{status}\"}} {count}");
+        }
+    }
+    let rest = [
+        ("dispatches", f.dispatches),
+        ("concurrent", f.concurrent as u64),
+        ("targets", f.targets as u64),
+        ("targets_disabled", f.targets_disabled as u64),
+        ("reload_success", f.reloads.0),
+        ("reload_failure", f.reloads.1),
+    ];
+    for (name, value) in rest {
+        let _ = writeln!(body, "app_{name} {value}");
+    }
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+    )
+    .into()
+}
--- a/src/protocol/request.rs
+++ b/src/protocol/request.rs
@@ -79,6 +79,9 @@
         Some("1") => true,
         Some(_) => return reject(400, "Req-Retry is neither 1 nor again"),
     };
+    // A guess that can't be one must not cost the request: it counts as none.
+    let work = one(headers, "Req-Cost")?.and_then(|text| text.parse::<f64>().ok());
+    let work = work.map(|us| us / 1e6).filter(|work| work.is_finite() && *work > 0.0);
     let mut arrival = Arrival {
         id: RequestId(id),
         class,
@@ -86,7 +89,7 @@
         session: hex(headers, "Req-Key")?,
         prefix: None,
         time_left: time_left.min(MOST_WAIT),
-        expected_work: None,
+        expected_work: work,
         prompt_tokens: (body / TOKEN_BYTES) as u64,
         prefix_tokens: 0,
         answer_limit: 0,
--- a/src/routing/directory.rs
+++ b/src/routing/directory.rs
@@ -91,6 +91,11 @@
         self.members.due()
     }
 
+    /// Servers listed, draining ones too.
+    pub fn listed(&self) -> usize {
+        self.known.len()
+    }
+
     /// What a source tells, by its name; returned is what the module is to be told.
     pub fn told(&mut self, source: &str, told: Told, at: Moment) -> Vec<Changed> {
         let place = self.members.settings().sources.iter().position(|s| s.name == source);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -122,6 +122,7 @@
 #[derive(Debug, Default)]
 struct Live {
     attempts: Vec<Attempt>,
+    class: usize,
     /// The final answer is given, or begun, or nobody waits for it.
     answered: bool,
     finished: bool,
@@ -161,13 +162,15 @@
     timers: BTreeSet<(Micros, Due)>,
     told: VecDeque<Event>,
     counts: Counts,
+    /// For each class, requests served, refused and failed.
+    replies: Vec<[u64; 3]>,
 }
 
 impl Router {
     /// A core around a module that has been told nothing yet.
     pub fn new(brain: Brain) -> Self {
-        let (live, timers, told, counts) = Default::default();
-        Router { brain, live, timers, told, counts }
+        let (live, timers, told, counts, replies) = Default::default();
+        Router { brain, live, timers, told, counts, replies }
     }
 
     /// Whether this id is in use: an id names one request at a time.
@@ -187,6 +190,14 @@
         let (size, out, _, _) = self.brain.gauges();
         (size, out)
     }
+    /// Requests of a class that were served, refused and failed, broken streams among the last.
+    pub fn replies(&self, class: usize) -> [u64; 3] {
+        self.replies.get(class).copied().unwrap_or_default()
+    }
+    /// Replicas listed that the module leaves alone now.
+    pub fn avoided(&self) -> usize {
+        self.brain.avoided()
+    }
     /// Requests that the module holds, by tenant.
     pub fn waiting(&self) -> Vec<usize> {
         self.brain.gauges().2
@@ -223,7 +234,7 @@
                     return;
                 }
                 self.counts.arrived += 1;
-                self.live.insert(arrival.id, Live::default());
+                self.live.insert(arrival.id, Live { class: arrival.class, ..Live::default() });
                 self.told.push_back(Event::Arrived(arrival));
             }
             Input::ClientGone(id) => {
@@ -275,12 +286,14 @@
         let streaming = a.stage == Stage::Streaming;
         a.stage = Stage::Ended;
         self.timers.remove(&(a.until, Due::Timeout(request, attempt)));
+        let mut whole = None;
         if streaming && !live.finished {
             // The end of a stream is the end of its request, also where it broke.
             live.finished = true;
-            match outcome {
-                Outcome::Served => self.counts.served += 1,
-                _ => self.counts.broken += 1,
+            whole = Some((live.class, outcome == Outcome::Served));
+            match outcome == Outcome::Served {
+                true => self.counts.served += 1,
+                false => self.counts.broken += 1,
             }
         }
         let kinds = [
@@ -296,6 +309,9 @@
             self.counts.ends[kind] += 1;
         }
         let last = live.finished;
+        if let Some((class, served)) = whole {
+            self.replied(class, if served { 0 } else { 2 });
+        }
         self.told.push_back(Event::Ended { request, attempt, outcome, last, report });
     }
 
@@ -340,14 +356,14 @@
                 out.push(Command::Send { request, attempt, replica, until });
             }
             Action::Refuse { request, retry_after } => {
-                if self.answer(request) {
+                if self.answer(request, 1) {
                     self.counts.refused += 1;
                     out.push(Command::Refuse { request, retry_after: micros(retry_after) });
                 }
                 self.forget(request);
             }
             Action::Fail { request } => {
-                if self.answer(request) {
+                if self.answer(request, 2) {
                     self.counts.failed += 1;
                     out.push(Command::Fail { request });
                 }
@@ -370,12 +386,21 @@
     }
 
     /// Marks a request as answered by the node itself; false where it has its answer already.
-    fn answer(&mut self, id: RequestId) -> bool {
+    fn answer(&mut self, id: RequestId, status: usize) -> bool {
         let Some(live) = self.live.get_mut(&id).filter(|l| !l.answered) else { return false };
         (live.answered, live.finished) = (true, true);
+        let class = live.class;
+        self.replied(class, status);
         true
     }
 
+    fn replied(&mut self, class: usize, status: usize) {
+        if self.replies.len() <= class {
+            self.replies.resize(class + 1, [0; 3]);
+        }
+        self.replies[class][status] += 1;
+    }
+
     /// A finished request stays until its last attempt has ended, and its timers go with it.
     fn forget(&mut self, id: RequestId) {
         let Some(live) = self.live.get(&id) else { return };
--- /dev/null
+++ b/src/transport/admin.rs
@@ -0,0 +1,134 @@
+//! The operators' own address: one call a connection, answered whatever the load, whoever else stays silent there.
+
+use super::client::discard;
+use super::messages::{Message, Phase};
+use super::Wire;
+use crate::protocol::admin::{self, Call, Figures};
+use crate::protocol::http::{Fault, Http, Out, Part, Side};
+use crate::protocol::request;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio_util::codec::Framed;
+
+/// Callers at once; for one more the oldest is let go, since whoever is answered does not stay.
+const MOST_CALLERS: usize = 32;
+/// A call must be whole within this time.
+const CALL: Duration = Duration::from_secs(2);
+/// An answer must be taken within this time.
+const TAKE: Duration = Duration::from_secs(1);
+/// From the order to evacuate clients may go on for so long on the connections they have; then idle ones close.
+const LEAVING: Duration = Duration::from_millis(1000);
+
+/// What the operators' calls act on.
+pub struct Admin {
+    /// To the core.
+    pub tell: mpsc::Sender<Message>,
+    /// How far the node's life has come.
+    pub phase: Rc<watch::Sender<Phase>>,
+    /// Files taken and turned down at SIGHUP.
+    pub reloads: Cell<(u64, u64)>,
+}
+
+impl Admin {
+    /// Answers calls until the process ends.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+        loop {
+            let Ok((socket, _)) = listener.accept().await else {
+                // Out of descriptors: the oldest caller makes room.
+                callers.pop_front().into_iter().for_each(|oldest| oldest.abort());
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            callers.retain(|caller| !caller.is_finished());
+            if callers.len() >= MOST_CALLERS {
+                callers.pop_front().into_iter().for_each(|oldest| oldest.abort());
+            }
+            callers.push_back(spawn_local(self.clone().caller(socket)).abort_handle());
+        }
+    }
+
+    async fn caller(self: Rc<Self>, socket: TcpStream) {
+        let mut wire = Framed::new(socket, Http::new(Side::Server));
+        let answer = match tokio::time::timeout(CALL, read(&mut wire)).await {
+            Ok(Ok(Ok(call))) => self.answer(call).await,
+            Ok(Ok(Err(reject))) => request::own_answer(reject.status, &reject.reason, None, true),
+            Ok(Err(Fault::Cut | Fault::Io(_))) => return,
+            Ok(Err(fault)) => request::own_answer(400, &fault.to_string(), None, true),
+            Err(_) => request::own_answer(408, "the call did not come whole in time", None, true),
+        };
+        let sent = async {
+            if wire.send(Out::Raw(answer)).await.is_ok() {
+                let _ = wire.get_mut().shutdown().await;
+                discard(wire.get_mut()).await;
+            }
+        };
+        let _ = tokio::time::timeout(TAKE, sent).await;
+    }
+
+    async fn answer(&self, call: Call) -> Bytes {
+        let yes = |text: &str| request::own_answer(200, text, None, true);
+        match call {
+            Call::Ready if *self.phase.borrow() == Phase::Serving => yes("ready"),
+            Call::Ready => request::own_answer(503, "this node takes no clients now", None, true),
+            Call::Telemetry => {
+                let (figures, told) = oneshot::channel();
+                let asked = self.tell.send(Message::Figures(figures)).await.is_ok();
+                match told.await.ok().filter(|_| asked) {
+                    Some(told) => admin::figures(&Figures { reloads: self.reloads.get(), ..told }),
+                    None => request::own_answer(503, "the node is ending", None, true),
+                }
+            }
+            Call::Evacuate => {
+                tracing::info!("evacuating at an operator's call");
+                self.move_on(Phase::Serving, Phase::Evacuating);
+                let phase = self.phase.clone();
+                spawn_local(async move {
+                    tokio::time::sleep(LEAVING).await;
+                    step(&phase, Phase::Evacuating, Phase::Evacuated);
+                });
+                yes("evacuating")
+            }
+            Call::Rejoin => {
+                tracing::info!("back to work at an operator's call");
+                self.move_on(Phase::Evacuating, Phase::Serving);
+                self.move_on(Phase::Evacuated, Phase::Serving);
+                yes("serving")
+            }
+        }
+    }
+
+    fn move_on(&self, from: Phase, to: Phase) {
+        step(&self.phase, from, to);
+    }
+}
+
+/// An order to stop must not be undone: a phase changes only from the one it is meant to change.
+fn step(phase: &watch::Sender<Phase>, from: Phase, to: Phase) {
+    phase.send_if_modified(|now| *now == from && std::mem::replace(now, to) != to);
+}
+
+/// Reads one call, its body too.
+async fn read(wire: &mut Wire) -> Result<Result<Call, request::Reject>, Fault> {
+    let mut call = None;
+    loop {
+        match wire.next().await {
+            Some(Ok(Part::Head(head))) => match admin::call(&head) {
+                Ok(read) => call = Some(read),
+                Err(reject) => return Ok(Err(reject)),
+            },
+            Some(Ok(Part::Body(_))) => {}
+            Some(Ok(Part::End)) => return call.ok_or(Fault::Cut).map(Ok),
+            Some(Err(fault)) => return Err(fault),
+            None => return Err(Fault::Cut),
+        }
+    }
+}
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -24,6 +24,8 @@
 /// After a last answer so much is still read, and for so long, so that the answer is not lost to a reset.
 const DISCARD: usize = 2 * MOST_BODY;
 const DISCARD_FOR: Duration = Duration::from_secs(1);
+/// A connection that comes while idle ones are closed has so long to send its request.
+const FIRST_REQUEST: Duration = Duration::from_millis(250);
 /// When a client may come again that found no room for its body.
 const AGAIN_US: u64 = 500_000;
 
@@ -180,10 +182,17 @@
                 Err(_) => Some(Err(Fault::Slow)),
             }
         };
+        let closing = async {
+            let _ = phase.wait_for(|p| matches!(p, Phase::Evacuated | Phase::Closing)).await;
+            if !known {
+                // It has only just come: closed unheard, its request would have to be sent anew.
+                tokio::time::sleep(FIRST_REQUEST).await;
+            }
+        };
         let next = tokio::select! {
             biased;
             next = next => next,
-            _ = phase.wait_for(|p| *p == Phase::Closing) => None,
+            () = closing => None,
             () = leave.notified() => None,
         };
         self.shared.idle.borrow_mut().remove(&mark);
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -5,6 +5,7 @@
 use super::messages::{Answer, Message, Payload, Piece, LIST};
 use super::upstream::{Job, Upstream};
 use crate::interface::{ReplicaId, RequestId};
+use crate::protocol::admin::Figures;
 use crate::routing::directory::{Changed, Directory};
 use crate::routing::{Command, Input, Micros, Router};
 use poppykeel_membership::Told;
@@ -107,6 +108,10 @@
                 self.clients.insert(arrival.id, Client { payload: Rc::new(payload), token_aim, answer });
                 Input::Arrived(arrival)
             }
+            Message::Figures(figures) => {
+                let _ = figures.send(self.figures());
+                return;
+            }
             Message::SumUp(done) => {
                 self.sum_up();
                 let _ = done.send(());
@@ -155,6 +160,20 @@
         self.carry_out(now);
     }
 
+    fn figures(&self) -> Figures {
+        let names = &self.upstream.boot.names.classes;
+        let replies =
+            names.iter().cloned().enumerate().map(|(class, name)| (name, self.router.replies(class)));
+        Figures {
+            replies: replies.collect(),
+            dispatches: self.upstream.written.get(),
+            concurrent: self.router.live(),
+            targets: self.directory.listed(),
+            targets_disabled: self.router.avoided(),
+            reloads: (0, 0),
+        }
+    }
+
     fn sum_up(&self) {
         let (c, (window, out)) = (self.router.counts(), self.router.window());
         tracing::info!(
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -1,6 +1,7 @@
 //! What drivers tell each other. Everything here is plain data; each driver uses this file and those below it.
 
 use crate::interface::{Arrival, ReplicaId, RequestId};
+use crate::protocol::admin::Figures;
 use crate::routing::directory::Members;
 use crate::routing::{Input, Micros};
 use bytes::Bytes;
@@ -69,6 +70,8 @@
     },
     /// New settings of the account of membership.
     Members(Members),
+    /// An operator asks for the figures.
+    Figures(oneshot::Sender<Figures>),
     /// The log is to say what has happened so far; answered once it has.
     SumUp(oneshot::Sender<()>),
 }
@@ -98,6 +101,10 @@
 pub enum Phase {
     /// Clients may come and stay.
     Serving,
+    /// An operator has ordered clients away: each answer is the last on its connection.
+    Evacuating,
+    /// And connections without a request are closed, until the node is called back to work.
+    Evacuated,
     /// Clients may come, but each answer is the last on its connection.
     Draining,
     /// Connections without a request are closed.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets and the tasks that drive them. Each driver reads and writes; what bytes mean is `protocol`'s, what
 //! to do is `routing`'s. All tasks share one thread and talk over bounded channels.
 
+pub mod admin;
 pub mod client;
 pub mod clock;
 pub mod discovery;
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -14,6 +14,7 @@
 use crate::wire::Boot;
 use bytes::{Buf, Bytes};
 use futures_util::{SinkExt, StreamExt};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +40,8 @@
     pub bounds: Rc<Bounds>,
     /// What all streams share.
     pub streams: Rc<Streams>,
+    /// Attempts written whole.
+    pub written: Rc<Cell<u64>>,
 }
 
 /// One attempt.
@@ -90,6 +93,7 @@
             // Before its last byte is written a request can't have run.
             return (Outcome::ConnectFailed, None, None);
         }
+        self.written.set(self.written.get() + 1);
         let mut answer = Answer::new(self.boot.clone());
         let mut steps = Vec::new();
         let mut keep = false;
--- /dev/null
+++ b/tests/admin.rs
@@ -0,0 +1,123 @@
+//! The operators' address of a running node: its calls, the drain they order, the figures, a second process.
+
+#[allow(dead_code)] // the rest is for tests of streams
+mod support;
+
+use poppykeel_standin::{Outcome, Script, Standin};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
+use std::time::{Duration, Instant};
+use support::{ask, read, Node};
+
+/// Only a hang runs into this.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Waits until something holds.
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "{what} never came");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn address(node: &Node) -> SocketAddr {
+    let mut found = None;
+    until("the operators' address", || {
+        let log = node.log.lock().unwrap();
+        let text = log.iter().find_map(|l| l.split("operators call at ").nth(1).map(String::from));
+        found = text.and_then(|t| t.split('"').next().and_then(|a| a.parse().ok()));
+        found.is_some()
+    });
+    found.unwrap()
+}
+
+fn call(at: SocketAddr, line: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    write!(stream, "{line} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    (text[9..12].parse().unwrap(), text.split("\r\n\r\n").nth(1).unwrap().to_string())
+}
+
+fn health(node: &Node) -> u16 {
+    call(node.addr, "GET /healthz").0
+}
+
+fn figure(at: SocketAddr, name: &str) -> Option<u64> {
+    let text = call(at, "GET /api/telemetry").1;
+    text.lines().find_map(|l| l.strip_prefix(name)?.trim().parse().ok())
+}
+
+#[test]
+fn an_evacuated_node_says_no_lets_its_clients_go_and_comes_back() {
+    let server = Standin::start(vec![Script { tokens: 5, ..Script::default() }]).unwrap();
+    let node = Node::start("evacuate", server.addrs(), "", "safe");
+    let at = address(&node);
+    assert_eq!((call(at, "GET /api/ready").0, health_kept(&node).1), (200, 200));
+    let (mut idle, _) = health_kept(&node);
+    assert_eq!(call(at, "POST /api/evacuate").0, 200);
+    assert_eq!((call(at, "GET /api/ready").0, health(&node)), (503, 503));
+    // The connection that is kept without a request is closed by the node.
+    assert_eq!(idle.read(&mut [0]).unwrap(), 0);
+    assert_eq!(call(at, "POST /api/rejoin").0, 200);
+    assert_eq!((call(at, "GET /api/ready").0, health_kept(&node).1), (200, 200));
+    let (id, mut stream) = ask(&node, "after the drain", 5);
+    assert_eq!(read(id, "after the drain", 5, &mut stream).outcome, Outcome::Whole);
+}
+
+/// A health check on a connection that stays open.
+fn health_kept(node: &Node) -> (TcpStream, u16) {
+    let mut stream = TcpStream::connect(node.addr).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    let mut have = Vec::new();
+    while !have.ends_with(b"\"}") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        have.push(byte[0]);
+    }
+    let status = String::from_utf8_lossy(&have[9..12]).parse().unwrap();
+    (stream, status)
+}
+
+#[test]
+fn the_figures_count_what_clients_got_and_bad_calls_are_told_so() {
+    let server = Standin::start(vec![Script { tokens: 5, ..Script::default() }]).unwrap();
+    let node = Node::start("figures", server.addrs(), "", "safe");
+    let at = address(&node);
+    // Callers that say nothing, or half a call, hold nobody up.
+    let silent: Vec<_> = (0..40).map(|_| TcpStream::connect(at).unwrap()).collect();
+    silent.iter().for_each(|mut s| s.write_all(b"GET /api/re").unwrap());
+    for n in 0..3 {
+        let (id, mut stream) = ask(&node, "count me", 5);
+        assert_eq!(read(id, "count me", 5, &mut stream).outcome, Outcome::Whole, "{n}");
+    }
+    until("three served", || figure(at, "app_replies{type=\"chat\",status=\"success\"}") == Some(3));
+    assert_eq!(figure(at, "app_dispatches"), Some(3));
+    assert_eq!(figure(at, "app_concurrent"), Some(0));
+    assert_eq!((figure(at, "app_targets"), figure(at, "app_targets_disabled")), (Some(1), Some(0)));
+    assert_eq!(call(at, "GET /api/nothing").0, 404);
+    assert_eq!(call(at, "GET /api/evacuate").0, 405);
+    assert_eq!(figure(at, "app_reload_success"), Some(0));
+    assert!(Command::new("kill").args(["-HUP", &node.child.id().to_string()]).status().unwrap().success());
+    until("the reload", || figure(at, "app_reload_success") == Some(1));
+}
+
+/// A new version starts beside the old one at the same address and goes on when that is told to end.
+#[test]
+fn a_second_process_shares_the_address_and_takes_over() {
+    let server = Standin::start(vec![Script { tokens: 5, ..Script::default() }]).unwrap();
+    let mut old = Node::start("upgrade-old", server.addrs(), "", "safe");
+    let new = Node::process("upgrade-new", server.addrs(), ["", "safe", "127.0.0.1:1"], Some(old.addr));
+    assert_eq!((new.addr, call(address(&new), "GET /api/ready").0), (old.addr, 200));
+    assert!(Command::new("kill").args(["-TERM", &old.child.id().to_string()]).status().unwrap().success());
+    assert!(old.child.wait().unwrap().success());
+    for n in 0..10 {
+        let (id, mut stream) = ask(&new, "to the new one", 5);
+        let seen = read(id, "to the new one", 5, &mut stream);
+        assert_eq!(seen.outcome, Outcome::Whole, "{n}");
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -34,6 +34,12 @@
         semantics: &str,
         discovery: &str,
     ) -> Node {
+        Node::process(name, servers, [operator, semantics, discovery], None)
+    }
+
+    /// The same with the operators' text, the effect and discovery's address, and where it listens.
+    pub fn process(name: &str, servers: &[SocketAddr], texts: [&str; 3], listen: Option<SocketAddr>) -> Node {
+        let [operator, semantics, discovery] = texts;
         let entry = |(n, addr): (usize, &SocketAddr)| {
             format!(
                 r#"{{"id":"s-{n}","addr":"{addr}","zone":"a","kind":"k","cell":0,"state":"up","weight":1.0,"started_ms":0}}"#
@@ -56,6 +62,8 @@
             .arg("--operator")
             .arg(&files[1])
             .args(["--log-format", "json"])
+            .env("GW_ADMIN", "127.0.0.1:0")
+            .args(listen.iter().flat_map(|at| ["--listen".to_string(), at.to_string()]))
             .env_remove("GW_DISCOVERY")
             .stderr(Stdio::piped())
             .spawn()
