Take new settings at SIGHUP: classes come and go, files that can't be meant are turned down

Change: Boot::follow puts newer settings in the place of older ones. A class that is as it was keeps its place; one that changes or comes gets a new one, and one that goes is closed to new requests, so that requests under way keep their class as it was; their number is bounded. The module takes them over with held requests moved to the tier of the worth they came with (Brain::resettle); the core is told before clients' drivers, so that no request meets a class it does not know. A file that lacks a key of the one in force was cut off and is turned down, as one with a wanted time, give-up time or number of attempts that is no number above 0. Rejected: numbering classes anew, which would have changed the class of what runs.

Tests: tests/admin.rs, nine files that can't be meant among them.

--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -60,6 +60,21 @@
         self.replicas.values().filter(|r| !r.gone && (!r.up || Self::ejected(r))).count()
     }
 
+    /// Takes new settings, whose classes and tenants keep their places: requests held move to the tier of the worth
+    /// they came with, all others keep their class.
+    pub fn resettle(&mut self, settings: Settings) -> Result<(), SettingsError> {
+        settings.check()?;
+        let held: Vec<RequestId> = self.requests.iter().filter(|r| r.1.queued).map(|r| *r.0).collect();
+        held.iter().for_each(|id| self.hold(*id, false));
+        let old = std::mem::replace(&mut self.backlog, Backlog::new(&settings));
+        for request in self.requests.values_mut() {
+            request.tier = self.backlog.tier_of(old.tiers[request.tier].worth);
+        }
+        held.iter().for_each(|id| self.hold(*id, true));
+        self.settings = settings;
+        Ok(())
+    }
+
     pub(super) fn unpark(&mut self) {
         for id in std::mem::take(&mut self.parked) {
             self.hold(id, true);
--- a/src/program/config/mod.rs
+++ b/src/program/config/mod.rs
@@ -53,6 +53,8 @@
     pub boot: Boot,
     /// The figures of the transport.
     pub bounds: Bounds,
+    /// The text as read.
+    text: Value,
 }
 
 impl Config {
@@ -121,8 +123,37 @@
             known,
             boot,
             bounds,
+            text: v,
         })
     }
+
+    /// Whether this may take the place of an older one while the node runs: a key that it lacks was cut off.
+    pub fn replaces(&self, old: &Config) -> Result<(), String> {
+        match lacking("config", &old.text, &self.text) {
+            Some(key) => Err(format!("{key}: missing; it was there before")),
+            None => Ok(()),
+        }
+    }
+}
+
+/// The first key of the old that the new lacks; entries of a list are held against the first of the old one.
+fn lacking(path: &str, old: &Value, new: &Value) -> Option<String> {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, value)| {
+            let path = format!("{path}.{key}");
+            match new.get(key) {
+                // The list of servers is for the start alone.
+                _ if key == "known" => None,
+                Some(found) => lacking(&path, value, found),
+                None => Some(path),
+            }
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            new.iter().enumerate().find_map(|(n, entry)| lacking(&format!("{path}.{n}"), old.first()?, entry))
+        }
+        (Value::Object(_) | Value::Array(_), _) => Some(path.to_string()),
+        _ => None,
+    }
 }
 
 fn seed(value: &Value) -> Result<u64, String> {
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -15,6 +15,7 @@
 use crate::transport::srv::Lookups;
 use crate::transport::streams::Streams;
 use crate::transport::upstream::Upstream;
+use crate::wire::Boot;
 use crate::Brain;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -63,8 +64,20 @@
     listener.map_err(|e| format!("config: {key}: {addr}: {e}"))
 }
 
+/// What has been read again, if it may follow what is in force.
+#[allow(clippy::type_complexity)]
+fn follow(
+    current: &Config,
+    boot: &Boot,
+    (config, operator): (Config, Operator),
+) -> Result<(Config, Operator, Rc<Boot>), String> {
+    config.replaces(current)?;
+    let next = boot.follow(config.boot.clone())?;
+    Ok((config, operator, Rc::new(next)))
+}
+
 async fn run(
-    config: Config,
+    mut config: Config,
     operator: Operator,
     reread: impl Fn() -> Result<(Config, Operator), String>,
 ) -> Result<(), String> {
@@ -76,7 +89,8 @@
     let admins = config.admin.map(|addr| listen("admin", addr)).transpose()?;
     let bound = listener.local_addr().map_err(|e| format!("config: listen: {e}"))?;
     let brain = Brain::new(config.boot.settings.clone(), config.seed).map_err(|e| e.to_string())?;
-    let (boot, bounds) = (Rc::new(config.boot), Rc::new(config.bounds));
+    let mut boot = Rc::new(config.boot.clone());
+    let bounds = Rc::new(config.bounds.clone());
     let (tell, told) = mpsc::channel(MESSAGES);
     let (phase, phases) = watch::channel(Phase::Serving);
     let phase = Rc::new(phase);
@@ -99,7 +113,7 @@
     // Where lists are pushed the module never asks: the agent's list is watched from the start.
     let pushed = boot.settings.discovery == crate::interface::Discovery::Pushed;
     let discovery = if pushed { discovery.pushed() } else { discovery };
-    let known = config.known.filter(|_| operator.lists()).map(|k| k.told());
+    let known = config.known.clone().filter(|_| operator.lists()).map(|k| k.told());
     let directory = Directory::new(boot.clone(), operator.members());
     let hub = Hub::new(clock, Router::new(brain), directory, upstream, discovery.clone(), known);
     let mut lookups = Lookups::new(clock, tell.clone());
@@ -111,7 +125,8 @@
             pool.sweep();
         }
     });
-    let shared = Rc::new(Shared::new(boot, bounds.clone(), tell.clone(), phases.clone(), streams.clone()));
+    let shared =
+        Rc::new(Shared::new(boot.clone(), bounds.clone(), tell.clone(), phases.clone(), streams.clone()));
     spawn_local(accept(listener, shared.clone(), phases));
     tracing::info!(node = %config.name, listen = %bound, "serving on {bound}");
     let admin = Rc::new(Admin { tell: tell.clone(), phase: phase.clone(), reloads: Cell::default() });
@@ -126,13 +141,21 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => match reread() {
-                Ok((config, operator)) => {
-                    tracing::info!(node = %config.name, discovery = %config.discovery, "read again");
+            _ = hangup.recv() => match reread().and_then(|read| follow(&config, &boot, read)) {
+                Ok((read, operator, next)) => {
+                    // The core first: a request of a new class must find it known there.
+                    let (done, settled) = oneshot::channel();
+                    if tell.send(Message::Settings(next.clone(), done)).await.is_ok() {
+                        let _ = settled.await;
+                    }
+                    shared.boot.replace(next.clone());
+                    boot = next;
+                    tracing::info!(node = %read.name, discovery = %read.discovery, "read again");
                     // First the settings: what a new source tells must find its place.
                     let _ = tell.send(Message::Members(operator.members())).await;
                     discovery.enable(operator.lists());
-                    discovery.move_to(config.discovery);
+                    discovery.move_to(read.discovery);
+                    config = read;
                     lookups.set(operator.service());
                     streams.set(operator.streams());
                     taken += 1;
--- a/src/protocol/request.rs
+++ b/src/protocol/request.rs
@@ -60,7 +60,13 @@
     }
     let Some(id) = hex(headers, "Req-Id")? else { return reject(400, "Req-Id is missing") };
     let class = match one(headers, "Req-Kind")? {
-        Some(kind) => place("Req-Kind", kind, &names.classes)?,
+        Some(kind) => {
+            let open = |at: &usize| names.classes[*at] == kind && !names.retired.contains(at);
+            match (0..names.classes.len()).rev().find(open) {
+                Some(class) => class,
+                None => return reject(400, "Req-Kind names nothing known here"),
+            }
+        }
         None => return reject(400, "Req-Kind is missing"),
     };
     let tenant = match one(headers, "Req-Owner")? {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -194,6 +194,10 @@
     pub fn replies(&self, class: usize) -> [u64; 3] {
         self.replies.get(class).copied().unwrap_or_default()
     }
+    /// New settings for the module.
+    pub fn resettle(&mut self, settings: Settings) -> Result<(), SettingsError> {
+        self.brain.resettle(settings)
+    }
     /// Replicas listed that the module leaves alone now.
     pub fn avoided(&self) -> usize {
         self.brain.avoided()
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -31,8 +31,8 @@
 
 /// What all clients' connections share.
 pub struct Shared {
-    /// The settings.
-    pub boot: Rc<Boot>,
+    /// The settings, as they are now.
+    pub boot: RefCell<Rc<Boot>>,
     /// The figures.
     pub bounds: Rc<Bounds>,
     /// To the core.
@@ -59,6 +59,7 @@
         streams: Rc<Streams>,
     ) -> Self {
         let (held, open, idle, marks) = Default::default();
+        let boot = RefCell::new(boot);
         Shared { boot, bounds, tell, phase, streams, held, open, idle, marks }
     }
     /// As many connections are open as may be.
@@ -257,7 +258,8 @@
             self.send(Out::Raw(request::own_answer(status, text, None, close))).await?;
             return if close { Err(Leave) } else { Ok(()) };
         }
-        let arrival = match request::arrival(&head.headers, &self.shared.boot.names, body.len()) {
+        let boot = self.shared.boot.borrow().clone();
+        let arrival = match request::arrival(&head.headers, &boot.names, body.len()) {
             Ok(arrival) => arrival,
             Err(reject) => return self.turn_down(reject, None).await,
         };
@@ -285,7 +287,7 @@
                 return if close { Err(Leave) } else { Ok(()) };
             }
         };
-        let (streams, boot) = (self.shared.streams.clone(), self.shared.boot.clone());
+        let streams = self.shared.streams.clone();
         let mut relay = Relay::new(&streams, &boot, arrival, head, body, replica, &content_type);
         if relay.is_none() {
             drop(hold);
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -112,6 +112,14 @@
                 let _ = figures.send(self.figures());
                 return;
             }
+            Message::Settings(boot, done) => {
+                match self.router.resettle(boot.settings.clone()) {
+                    Ok(()) => self.upstream.boot = boot,
+                    Err(e) => tracing::error!(why = %e, "settings kept as they were"),
+                }
+                let _ = done.send(());
+                return;
+            }
             Message::SumUp(done) => {
                 self.sum_up();
                 let _ = done.send(());
@@ -161,11 +169,17 @@
     }
 
     fn figures(&self) -> Figures {
-        let names = &self.upstream.boot.names.classes;
-        let replies =
-            names.iter().cloned().enumerate().map(|(class, name)| (name, self.router.replies(class)));
+        // A class whose settings have changed has had several places.
+        let mut replies: Vec<(String, [u64; 3])> = Vec::new();
+        for (class, name) in self.upstream.boot.names.classes.iter().enumerate() {
+            let counts = self.router.replies(class);
+            match replies.iter_mut().find(|known| known.0 == *name) {
+                Some((_, sum)) => sum.iter_mut().zip(counts).for_each(|(sum, count)| *sum += count),
+                None => replies.push((name.clone(), counts)),
+            }
+        }
         Figures {
-            replies: replies.collect(),
+            replies,
             dispatches: self.upstream.written.get(),
             concurrent: self.router.live(),
             targets: self.directory.listed(),
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -4,8 +4,10 @@
 use crate::protocol::admin::Figures;
 use crate::routing::directory::Members;
 use crate::routing::{Input, Micros};
+use crate::wire::Boot;
 use bytes::Bytes;
 use poppykeel_membership::Told;
+use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
 
 /// A client's request as it goes to replicas.
@@ -72,6 +74,8 @@
     Members(Members),
     /// An operator asks for the figures.
     Figures(oneshot::Sender<Figures>),
+    /// New settings for the core; answered once they hold.
+    Settings(Rc<Boot>, oneshot::Sender<()>),
     /// The log is to say what has happened so far; answered once it has.
     SumUp(oneshot::Sender<()>),
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -24,6 +24,9 @@
 
 impl std::error::Error for WireError {}
 
+/// Classes in use since the start: each change of one takes a place.
+const MOST_CLASSES: usize = 1024;
+
 /// Settings with what only the wire needs: how many there are of each, and the order of report values.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Boot {
@@ -41,6 +44,8 @@
 pub struct Names {
     /// Classes of requests.
     pub classes: Vec<String>,
+    /// Places of classes that new settings have taken back: what is under way keeps them, new requests don't.
+    pub retired: Vec<usize>,
     /// Tenants; empty at sites without.
     pub tenants: Vec<String>,
     /// Zones.
@@ -384,6 +389,36 @@
         boot(text)
     }
 
+    /// Newer settings in the place of these. A class that is as it was keeps its place; one that changes or comes
+    /// gets a new one, and requests under way keep theirs. What servers and tenants are numbered by stays.
+    pub fn follow(&self, mut new: Boot) -> Result<Boot, String> {
+        let (old, next) = (&self.names, std::mem::take(&mut new.names.classes));
+        for (key, same) in [
+            ("tenants", old.tenants == new.names.tenants),
+            ("zones", old.zones == new.names.zones),
+            ("hostTypes", old.kinds == new.names.kinds),
+            ("balancers", (self.settings.me, self.settings.zone) == (new.settings.me, new.settings.zone)),
+        ] {
+            if !same {
+                return Err(format!("settings: {key}: another one counts from the next start only"));
+            }
+        }
+        let fresh = std::mem::replace(&mut new.settings.classes, self.settings.classes.clone());
+        (new.names.classes, new.names.retired) = (old.classes.clone(), (0..old.classes.len()).collect());
+        for (name, class) in next.into_iter().zip(fresh) {
+            let known = |at: &usize| new.names.classes[*at] == name && new.settings.classes[*at] == class;
+            if let Some(at) = (0..new.names.classes.len()).find(known) {
+                new.names.retired.retain(|place| *place != at);
+            } else if new.names.classes.len() < MOST_CLASSES {
+                new.names.classes.push(name);
+                new.settings.classes.push(class);
+            } else {
+                return Err(format!("settings: classes: {MOST_CLASSES} have been in use since the start"));
+            }
+        }
+        Ok(new)
+    }
+
     /// A weight from the list as a size, where it is one.
     pub fn size(&self, weight: Option<f64>) -> Option<f64> {
         weight.filter(|s| self.sized && s.is_finite() && *s > 0.0)
@@ -428,6 +463,9 @@
         other => other.as_array().cloned().ok_or(format!("a list for {key}")),
     };
     let need = |v: &Value, key: &str| v[key].as_f64().ok_or(format!("a number for {key}"));
+    let above_zero = |v: &Value, key: &str| {
+        need(v, key).ok().filter(|n| *n > 0.0).ok_or(format!("a number above 0 for {key}"))
+    };
     let per_class = &v["specifics"]["aimUsPer1000PromptTokens"];
     let mut classes = Vec::new();
     for (i, c) in list(&v, "classes")?.iter().enumerate() {
@@ -445,10 +483,13 @@
             }
             _ => return Err("safe, keyed or unsafe for semantics".into()),
         };
+        if !c["giveUp"].is_null() {
+            above_zero(c, "giveUp")?;
+        }
         classes.push(Class {
             worth: number(c, "gain", 1.0)?,
             late_worth: number(c, "lateValue", 0.0)?,
-            aim: need(c, "goalTime")?,
+            aim: above_zero(c, "goalTime")?,
             aim_per_prompt_token: per_class[i].as_f64().unwrap_or(0.0) / 1e9,
             token_aim: v["specifics"]["tokenAim"][i].as_f64().unwrap_or(f64::INFINITY),
             aim_stretch: number(c, "aimStretch", 0.0)?,
@@ -483,7 +524,10 @@
             probes: flag(l, "probes")?,
             cancel: flag(l, "cancel")?,
             second_copies: flag(l, "secondCopies")?,
-            max_attempts: number(l, "mostTries", 1.0)? as usize,
+            max_attempts: match &l["mostTries"] {
+                Value::Null => 1,
+                _ => above_zero(l, "mostTries")?.max(1.0) as usize,
+            },
             max_retry_after: if flag(l, "retryAfter")? { number(l, "maxRetryAfter", 0.0)? } else { 0.0 },
         },
         prices: Prices {
@@ -516,6 +560,7 @@
     let named = |v: &Value, key: &str| list(v, key).map(|l| l.iter().map(|e| text(&e["name"])).collect());
     let names = Names {
         classes: named(&v, "classes")?,
+        retired: Vec::new(),
         tenants: named(&v, "tenants")?,
         zones: texts(&v, "zones")?,
         kinds: texts(&v, "hostTypes")?,
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -121,3 +121,70 @@
         assert_eq!(seen.outcome, Outcome::Whole, "{n}");
     }
 }
+
+/// The answer's status to a request of this class.
+fn status_of(node: &Node, class: &str, id: u64) -> u16 {
+    let mut stream = TcpStream::connect(node.addr).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let body = r#"{"model":"chat","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"x"}]}"#;
+    write!(
+        stream,
+        "POST /v1/chat/completions HTTP/1.1\r\nReq-Id: {id:016x}\r\nReq-Kind: {class}\r\nReq-Deadline: 9\r\n\
+         Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text[9..12].parse().unwrap()
+}
+
+/// New settings in the file at SIGHUP: classes come and go, and a file that can't be meant is turned down whole.
+#[test]
+fn settings_read_again_change_classes_and_bad_files_change_nothing() {
+    let server = Standin::start(vec![Script { tokens: 5, ..Script::default() }]).unwrap();
+    let node = Node::start("settings", server.addrs(), "", "safe");
+    let at = address(&node);
+    let first = std::fs::read_to_string(&node.files[0]).unwrap();
+    let class = first.lines().find(|l| l.starts_with("\"classes\"")).unwrap().to_string();
+    let entry = class.split_once('[').unwrap().1.trim_end_matches("],").to_string();
+    let put = |text: &str| {
+        std::fs::write(&node.files[0], text).unwrap();
+        assert!(Command::new("kill")
+            .args(["-HUP", &node.child.id().to_string()])
+            .status()
+            .unwrap()
+            .success());
+    };
+    assert_eq!((status_of(&node, "chat", 1), status_of(&node, "extra", 2)), (200, 400));
+    // A class comes, stricter than the one there was.
+    let extra = entry.replace("\"chat\"", "\"extra\"").replace("\"safe\"", "\"unsafe\"");
+    let both = first.replace(&entry, &format!("{entry},{extra}"));
+    put(&both);
+    until("the first reload", || figure(at, "app_reload_success") == Some(1));
+    assert_eq!((status_of(&node, "chat", 3), status_of(&node, "extra", 4)), (200, 200));
+    // What can't be meant is turned down whole, and what was in force stays so.
+    let bad = [
+        String::new(),
+        both[..both.len() / 2].to_string(),
+        both.replace("\"classes\"", "\"sorts\""),
+        both.replace("\"semantics\":\"safe\",", ""),
+        both.replace("\"goalTime\":15.0", "\"goalTime\":0"),
+        both.replace("\"giveUp\":30.0", "\"giveUp\":\"soon\""),
+        both.replace("\"mostTries\":3", "\"mostTries\":-1"),
+        both.replace("\"mostTries\":3,", ""),
+        both.replace("\"hostTypes\":[\"k\"]", "\"hostTypes\":[\"other\"]"),
+    ];
+    for (n, text) in bad.iter().enumerate() {
+        assert_ne!(*text, both, "{n}");
+        put(text);
+        until("the file turned down", || figure(at, "app_reload_failure") == Some(n as u64 + 1));
+    }
+    assert_eq!((status_of(&node, "chat", 5), status_of(&node, "extra", 6)), (200, 200));
+    // The first class goes; what has been counted stays counted.
+    put(&first.replace(&entry, &extra));
+    until("the second reload", || figure(at, "app_reload_success") == Some(2));
+    assert_eq!((status_of(&node, "chat", 7), status_of(&node, "extra", 8)), (400, 200));
+    until("three served", || figure(at, "app_replies{type=\"extra\",status=\"success\"}") == Some(3));
+    assert_eq!(figure(at, "app_replies{type=\"chat\",status=\"success\"}"), Some(3));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -17,7 +17,8 @@
     pub addr: SocketAddr,
     /// What it has logged so far, in JSON.
     pub log: Arc<Mutex<Vec<String>>>,
-    files: [PathBuf; 2],
+    /// Its configuration and the operators' file.
+    pub files: [PathBuf; 2],
 }
 
 impl Node {
