Weigh hints of work in the round robin; wait for a stopped node's last log lines in the lab

Now a hint counts in the tokens that work stands for on the mean, no less than a quarter and no more than four times its own tokens, so that an absurd one harms nobody (Learned::hinted).

A test of the lab failed once in four runs under load: Node::stop waited for the process but not for the task that reads its log, so the line looked for could still be on its way (crates/lab/src/sockets/nodes.rs). It now waits for both.

--- a/crates/lab/src/sockets/nodes.rs
+++ b/crates/lab/src/sockets/nodes.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 
 /// A node must serve within this time of its start.
 const START: Duration = Duration::from_secs(5);
@@ -62,6 +62,8 @@
     child: Child,
     /// Where.
     pub addr: SocketAddr,
+    /// Reads the log to its end.
+    log: JoinHandle<()>,
 }
 
 impl Node {
@@ -102,12 +104,12 @@
         };
         let addr: Option<SocketAddr> = tokio::time::timeout(START, serving).await.ok().flatten();
         let Some(addr) = addr else { return Err(format!("node: does not serve; last said: {last}")) };
-        spawn_local(async move {
+        let log = spawn_local(async move {
             while let Ok(Some(line)) = lines.next_line().await {
                 keep(&line);
             }
         });
-        Ok(Node { child, addr })
+        Ok(Node { child, addr, log })
     }
 
     /// Ends it as an orderly stop does, and waits.
@@ -115,7 +117,12 @@
         if let Some(id) = self.child.id() {
             let _ = Command::new("kill").args(["-TERM", &id.to_string()]).status().await;
         }
-        let _ = tokio::time::timeout(Duration::from_secs(10), self.child.wait()).await;
+        let ended = async {
+            let _ = self.child.wait().await;
+            // Its last lines may still be on their way here.
+            let _ = (&mut self.log).await;
+        };
+        let _ = tokio::time::timeout(Duration::from_secs(10), ended).await;
     }
 
     /// Ends it at once.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -144,6 +144,7 @@
         let worth = if self.within_share(tenant) { worth } else { worth * self.settings.over_share_worth };
         let tier = self.backlog.tier_of(worth);
         let cost = (arrival.prompt_tokens + arrival.answer_limit).max(1) as f64;
+        let cost = self.learned.hinted(cost, arrival.expected_work, LEARN);
         if self.arrivals == 0 {
             self.learned.begin(&self.settings.classes[arrival.class], arrival.answer_limit, cost);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -488,6 +488,8 @@
     /// For each [`Kept`], the part of what was expected that was found kept.
     pub(crate) kept: [f64; 3],
     pub(crate) places: Places,
+    /// Tokens of cost that a second of work told by requests stands for, the geometric mean.
+    pub(crate) tokens_a_second: Option<f64>,
     /// Mean reported prompt tokens waiting, for replicas without a report.
     pub(crate) typical: f64,
 }
@@ -507,6 +509,7 @@
             // Of a session that this router does not know little is known: less than half are later turns.
             kept: [1.0, 0.3, 1.0],
             places: Places::default(),
+            tokens_a_second: None,
             typical: 0.0,
         }
     }
@@ -519,6 +522,15 @@
         *count = (*count + 1.0).min(PACE_SAMPLES);
         *mean += ((sample / FIRST_PACE).ln() - *mean) / *count;
     }
+    /// The cost of a request whose work is told, in the tokens that such work stands for on the mean; a hint may
+    /// be absurd, so it counts for no more than four times its tokens and no less than a quarter.
+    pub(crate) fn hinted(&mut self, tokens: f64, work: Option<Seconds>, weight: f64) -> f64 {
+        let Some(work) = work.filter(|w| w.is_finite() && *w > 0.0) else { return tokens };
+        let rate = self.tokens_a_second.get_or_insert(tokens / work);
+        let cost = (work * *rate).clamp(tokens / 4.0, tokens * 4.0);
+        *rate *= (weight * (tokens / cost).ln()).exp();
+        cost
+    }
     /// Before any answer has ended: they run to a quarter of their limit, four times as fast as they must.
     pub(crate) fn begin(&mut self, class: &Class, answer_limit: u64, cost: f64) {
         self.hold_time = (class.token_aim.min(1.0) * answer_limit as f64 / 16.0).max(1.0);
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1342,3 +1342,32 @@
         "{small} of 20 evenly with a batch of 2, {unknown} with none shown"
     );
 }
+
+/// Hints of the work in a request weigh in the round robin; one that is absent, zero or absurd harms nobody.
+#[test]
+fn hints_of_work_weigh_in_the_round_robin_and_absurd_ones_are_bounded() {
+    let light_sent = |light: Option<f64>, heavy: Option<f64>| {
+        let mut s = settings();
+        s.classes[0].aim = 500.0;
+        let mut rig = Rig::new(s, 1);
+        rig.fill();
+        for n in 0..40 {
+            let (tenant, work) = if n % 2 == 0 { (0, light) } else { (1, heavy) };
+            let hinted = Arrival { expected_work: work, ..request(n, 0, tenant, 900.0) };
+            assert!(answers(&rig.tell(Event::Arrived(hinted))).is_empty());
+        }
+        let mut sent = Vec::new();
+        let mut n = 1000;
+        while sent.len() < 15 && n < 1100 {
+            sent.extend(sends(&rig.end(n, 0, Outcome::Cancelled, true)));
+            n += 1;
+        }
+        sent.iter().filter(|s| s.0 % 2 == 0).count()
+    };
+    let (even, uneven) = (light_sent(None, None), light_sent(Some(0.5), Some(1.5)));
+    assert!(uneven > even + 1, "{even} of 15 without hints, {uneven} of the light ones");
+    for absurd in [0.0, -1.0, f64::NAN, f64::INFINITY, 1e300, 1e-300] {
+        let light = light_sent(Some(1.0), Some(absurd));
+        assert!((2..=13).contains(&light), "{absurd}: {light} of 15");
+    }
+}
