Add leases from a quorum of keepers, a durable log under them, and [fleet] in the node

The operators' chief concern is how processes behave together when some fail; nodes shared nothing. This lays the ground: crates/store (a log that outlives crashes, format and limits in docs/store.md), crates/fleet (keeper, claim and membership without I/O), transport/fleet (UDP and TCP, the keeper's disk on a thread of its own), [fleet] in the operators' file, GET /api/fleet and 'poppykeel fleet status', and the fleet's report as the first task.

Design: a task is held by whoever has a majority of unexpired grants, from the moment it asked, less the drift; no consensus on a log. Rejected: raft 0.7, since its node can't be cloned or hashed and draws its own times, so that the machine that runs can't be the one explored, and each death of a leader costs an election; openraft, since its runtime can't be fed events and time. docs/leases.md has the ways weighed and the guarantee in exact words.

--- /dev/null
+++ b/crates/fleet/src/lease/keeper.rs
@@ -0,0 +1,266 @@
+//! One keeper's part of the table of grants.
+
+use super::messages::{Entry, Holder, Record, ToKeeper, ToNode};
+use crate::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Tasks that a keeper remembers. Tasks are few and named by the program, so this bounds what a bug can do.
+pub const MOST_TASKS: usize = 1024;
+
+/// What keepers of one fleet must agree on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Rules {
+    /// How many keepers there are.
+    pub keepers: usize,
+    /// This one's place among them.
+    pub me: usize,
+    /// The longest lease, in microseconds.
+    pub longest: Micros,
+    /// Whether its own disk is believed to be as it left it. If not, what it granted before is asked of the others,
+    /// since a disk that was put back to an older state looks whole.
+    pub trust: bool,
+}
+
+/// How far a keeper has come since its start.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Standing {
+    /// It asks the others for what it may have forgotten, and grants nothing.
+    Recalling {
+        /// Those that answered from memory.
+        heard: BTreeSet<usize>,
+        /// Those that answered that they have none.
+        blank: BTreeSet<usize>,
+    },
+    /// What it granted before its start may still be held until this time of its clock.
+    Waiting(Micros),
+    /// It grants.
+    Granting,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Grant {
+    epoch: u64,
+    holder: Option<Holder>,
+    length: Micros,
+    /// By this keeper's clock.
+    until: Micros,
+}
+
+/// A row of the table as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// The task's name.
+    pub task: String,
+    /// The highest epoch.
+    pub epoch: u64,
+    /// Who has it by this keeper.
+    pub holder: Option<Holder>,
+    /// For how much longer, in microseconds.
+    pub left: Micros,
+}
+
+/// What a keeper does about a message.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Done {
+    /// Must be durable before anything else is carried out.
+    pub write: Vec<Record>,
+    /// To the node that asked.
+    pub answer: Option<ToNode>,
+    /// To the keeper that asked.
+    pub memory: Option<(usize, ToKeeper)>,
+}
+
+/// A keeper.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Keeper {
+    rules: Rules,
+    /// Tells this start from earlier ones.
+    start: u64,
+    began: Micros,
+    blank: bool,
+    table: BTreeMap<String, Grant>,
+    standing: Standing,
+}
+
+impl Keeper {
+    /// A keeper that starts now with what its disk holds. `start` must differ from that of earlier starts.
+    pub fn new(rules: Rules, start: u64, kept: &[Record], now: Micros) -> Keeper {
+        let blank = !kept.contains(&Record::Whole);
+        let mut table: BTreeMap<String, Grant> = BTreeMap::new();
+        let entries = kept.iter().filter_map(|record| match record {
+            Record::Entry(entry) => Some(entry.clone()),
+            Record::Whole => None,
+        });
+        for Entry { task, epoch, holder, length } in entries {
+            // How much of it has run out nobody knows: all of it may be ahead.
+            let until = holder.as_ref().map_or(now, |_| now.saturating_add(length));
+            let grant = Grant { epoch, holder, length, until };
+            if table.get(&task).is_none_or(|known| known.epoch <= epoch) {
+                table.insert(task, grant);
+            }
+        }
+        let standing = match rules.trust && !blank {
+            true => Standing::Granting,
+            false => Standing::Recalling { heard: BTreeSet::new(), blank: BTreeSet::new() },
+        };
+        Keeper { rules, start, began: now, blank, table, standing }
+    }
+
+    /// How far it has come.
+    pub fn standing(&self) -> &Standing {
+        &self.standing
+    }
+
+    /// When [`Keeper::advance`] has something to do.
+    pub fn due(&self) -> Option<Micros> {
+        match self.standing {
+            Standing::Waiting(until) => Some(until),
+            _ => None,
+        }
+    }
+
+    /// Looks whether it has heard enough, and whether its wait is over; what is returned must be durable before
+    /// anything else is carried out.
+    pub fn advance(&mut self, now: Micros) -> Option<Record> {
+        let mut whole = None;
+        if let Standing::Recalling { heard, blank } = &self.standing {
+            let others = self.rules.keepers - 1;
+            let majority = self.rules.keepers / 2 + 1;
+            // Every majority that this keeper was part of has a member among any such number of others. All blank is
+            // a fleet's first start.
+            let first = self.blank && heard.is_empty() && blank.len() == others;
+            if heard.len() >= majority.min(others) || first {
+                self.standing = Standing::Waiting(self.began.saturating_add(self.rules.longest));
+                whole = std::mem::take(&mut self.blank).then_some(Record::Whole);
+            }
+        }
+        if matches!(self.standing, Standing::Waiting(until) if now >= until) {
+            self.standing = Standing::Granting;
+        }
+        whole
+    }
+
+    /// What to ask the other keepers, again and again until it grants.
+    pub fn recall(&self) -> Option<ToKeeper> {
+        let Standing::Recalling { .. } = self.standing else { return None };
+        Some(ToKeeper::Recall { keeper: self.rules.me, start: self.start })
+    }
+
+    /// Takes a message.
+    pub fn handle(&mut self, now: Micros, message: ToKeeper) -> Done {
+        let whole = self.advance(now);
+        let mut done = self.take(now, message);
+        done.write.splice(0..0, whole);
+        done
+    }
+
+    fn take(&mut self, now: Micros, message: ToKeeper) -> Done {
+        match message {
+            ToKeeper::Ask { task, who, epoch, round, length } => {
+                self.ask(now, task, who, epoch, round, length)
+            }
+            ToKeeper::Release { task, who, epoch } => {
+                if let Some(grant) = self.table.get_mut(&task) {
+                    // A release that comes late must not free what was granted since. It need not be durable: a
+                    // keeper that forgets it takes the task as granted for a while longer.
+                    if grant.epoch == epoch && grant.holder.as_ref() == Some(&who) {
+                        (grant.holder, grant.until) = (None, now);
+                    }
+                }
+                Done::default()
+            }
+            ToKeeper::Recall { keeper, .. } if keeper == self.rules.me || keeper >= self.rules.keepers => {
+                Done::default()
+            }
+            ToKeeper::Recall { keeper, start } => {
+                let epochs = self.table.iter().map(|(task, g)| (task.clone(), g.epoch)).collect();
+                let memory = ToKeeper::Memory { keeper: self.rules.me, start, blank: self.blank, epochs };
+                Done { memory: Some((keeper, memory)), ..Done::default() }
+            }
+            ToKeeper::Memory { keeper, start, blank, epochs } => {
+                if start != self.start || keeper == self.rules.me || keeper >= self.rules.keepers {
+                    return Done::default();
+                }
+                let Standing::Recalling { heard, blank: blanks } = &mut self.standing else {
+                    return Done::default();
+                };
+                if blank {
+                    blanks.insert(keeper);
+                } else {
+                    heard.insert(keeper);
+                    blanks.remove(&keeper);
+                }
+                let learned = epochs.into_iter().filter_map(|(task, epoch)| self.learn(task, epoch));
+                let mut write: Vec<Record> = learned.map(Record::Entry).collect();
+                write.extend(self.advance(now));
+                Done { write, ..Done::default() }
+            }
+        }
+    }
+
+    fn learn(&mut self, task: String, epoch: u64) -> Option<Entry> {
+        let known = self.table.get(&task).map_or(0, |g| g.epoch);
+        if epoch <= known || (known == 0 && self.table.len() >= MOST_TASKS) {
+            return None;
+        }
+        self.table.insert(task.clone(), Grant { epoch, holder: None, length: 0, until: 0 });
+        Some(Entry { task, epoch, holder: None, length: 0 })
+    }
+
+    fn ask(
+        &mut self,
+        now: Micros,
+        task: String,
+        who: Holder,
+        epoch: u64,
+        round: u64,
+        length: Micros,
+    ) -> Done {
+        if self.standing != Standing::Granting {
+            return Done::default();
+        }
+        let known = self.table.get(&task);
+        let refused = |known: Option<&Grant>| ToNode::Refused {
+            task: task.clone(),
+            round,
+            epoch: known.map_or(0, |g| g.epoch),
+            holder: known.and_then(|g| g.holder.clone()),
+            left: known.map_or(0, |g| g.until.saturating_sub(now)),
+        };
+        let own = known.is_some_and(|g| g.holder.as_ref() == Some(&who));
+        let free = known.is_none_or(|g| own || now >= g.until);
+        let again = own && known.is_some_and(|g| g.epoch == epoch);
+        let higher = epoch > known.map_or(0, |g| g.epoch);
+        let bounded = known.is_some() || self.table.len() < MOST_TASKS;
+        if !(free && bounded && (again || higher)) || length == 0 || length > self.rules.longest {
+            return Done { answer: Some(refused(known)), ..Done::default() };
+        }
+        // Going on with a grant changes nothing that a restart would need: it takes all of `length` as ahead.
+        let lasting = again && known.is_some_and(|g| g.length >= length);
+        let until = now.saturating_add(length);
+        let until = if again { until.max(known.map_or(0, |g| g.until)) } else { until };
+        let entry = Entry { task: task.clone(), epoch, holder: Some(who.clone()), length };
+        self.table.insert(task.clone(), Grant { epoch, holder: Some(who), length, until });
+        let write = if lasting { Vec::new() } else { vec![Record::Entry(entry)] };
+        Done { write, answer: Some(ToNode::Granted { task, round, epoch }), memory: None }
+    }
+
+    /// The table.
+    pub fn rows(&self, now: Micros) -> impl Iterator<Item = Row> + '_ {
+        self.table.iter().map(move |(task, g)| {
+            let left = g.until.saturating_sub(now);
+            let holder = g.holder.clone().filter(|_| left > 0);
+            Row { task: task.clone(), epoch: g.epoch, holder, left }
+        })
+    }
+
+    /// All that a compaction keeps.
+    pub fn records(&self) -> Vec<Record> {
+        let entry = |(task, g): (&String, &Grant)| {
+            let (task, holder) = (task.clone(), g.holder.clone());
+            Record::Entry(Entry { task, epoch: g.epoch, holder, length: g.length })
+        };
+        let whole = (!self.blank).then_some(Record::Whole);
+        self.table.iter().map(entry).chain(whole).collect()
+    }
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,14 @@
+//! A durable log of small records: what is acknowledged is found again after a crash, and nothing else is invented.
+//!
+//! All file work goes through [`Disk`]: [`Files`] is the real one, [`SimDisk`] one that loses unsynced writes, tears
+//! them, fails a sync, is full, or returns rotten bytes. `docs/store.md` has the format.
+
+mod disk;
+mod log;
+mod record;
+mod sim;
+
+pub use disk::{Disk, Files};
+pub use log::{Fault, Log};
+pub use record::FORMAT;
+pub use sim::SimDisk;
--- a/src/program/config/mod.rs
+++ b/src/program/config/mod.rs
@@ -1,6 +1,7 @@
 //! The one place where configuration is read, checked and given defaults. Every error names its key. Here is the
 //! platform's JSON; `operator` is the operators' own file.
 
+pub mod fleet;
 pub mod operator;
 
 use crate::protocol::discovery::{self, Update};
--- a/src/program/config/operator.rs
+++ b/src/program/config/operator.rs
@@ -1,6 +1,7 @@
 //! The operators' file: TOML, each key checked, each error with the key's path and line. `deploy/operator.toml`
 //! lists every key with its default and its unit.
 
+use super::fleet::Fleet;
 use crate::protocol::srv::Naming;
 use crate::routing::directory::Members;
 use crate::transport::messages::{LIST, SRV};
@@ -26,6 +27,8 @@
     pub membership: Option<Membership>,
     /// How long streams may be silent, and whether they are continued.
     pub streams: Streams,
+    /// What this node has to do with the others; without it nothing.
+    pub fleet: Option<Fleet>,
 }
 
 /// Answers that stream.
@@ -309,6 +312,7 @@
     /// What the types leave open: the key at fault, and what would be right.
     fn check(&self) -> Result<(), (String, String)> {
         self.check_streams()?;
+        self.fleet.as_ref().map_or(Ok(()), Fleet::check)?;
         let Some(members) = &self.membership else { return Ok(()) };
         let bad = |key: &str, what: &str| Err((format!("membership.{key}"), what.to_string()));
         if members.sources.is_empty() {
--- /dev/null
+++ b/src/program/fleet.rs
@@ -0,0 +1,108 @@
+//! `poppykeel fleet`: what a running node says of its fleet.
+
+use clap::{Args, Subcommand};
+use serde_json::Value;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// A node answers its operators within a second, or not at all.
+const WAIT: Duration = Duration::from_secs(3);
+
+#[derive(Args)]
+pub(super) struct Fleet {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Show members, keepers, and who holds what for how long
+    Status(Status),
+}
+
+#[derive(Args)]
+struct Status {
+    /// The operators' address of any node of the fleet
+    #[arg(long, env = "GW_ADMIN", value_name = "ADDRESS")]
+    admin: SocketAddr,
+    /// As the node tells it, as JSON
+    #[arg(long)]
+    json: bool,
+}
+
+impl Fleet {
+    pub(super) fn run(&self) -> Result<(), String> {
+        let What::Status(status) = &self.what;
+        let body = call(status.admin, "GET /api/fleet")?;
+        let told: Value = serde_json::from_str(&body).map_err(|e| format!("{}: {e}", status.admin))?;
+        match status.json {
+            true => println!("{told:#}"),
+            false => print!("{}", table(&told)),
+        }
+        Ok(())
+    }
+}
+
+/// One call at a node's operators' address; the body of its answer.
+fn call(admin: SocketAddr, line: &str) -> Result<String, String> {
+    let named = |e: std::io::Error| format!("admin {admin}: {e}");
+    let mut stream = TcpStream::connect_timeout(&admin, WAIT).map_err(named)?;
+    stream.set_read_timeout(Some(WAIT)).map_err(named)?;
+    write!(stream, "{line} HTTP/1.1\r\nHost: {admin}\r\nContent-Length: 0\r\n\r\n").map_err(named)?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).map_err(named)?;
+    let (head, body) = text.split_once("\r\n\r\n").ok_or(format!("admin {admin}: no answer"))?;
+    match head.split(' ').nth(1) {
+        Some("200") => Ok(body.to_string()),
+        status => Err(format!("admin {admin}: {} {body}", status.unwrap_or("no status"))),
+    }
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("-")
+}
+
+fn rows(value: &Value) -> impl Iterator<Item = &Value> {
+    value.as_array().into_iter().flatten()
+}
+
+/// What a person reads.
+fn table(told: &Value) -> String {
+    let mut out = format!("fleet {}, as {} sees it\n\n", text(&told["fleet"]), text(&told["node"]));
+    out += &format!("{:<16} {:<22} {:<17} keeper\n", "member", "address", "incarnation");
+    for m in rows(&told["members"]) {
+        let keeper = if m["keeper"] == true { "yes" } else { "" };
+        let (name, addr, incarnation) = (text(&m["name"]), text(&m["addr"]), text(&m["incarnation"]));
+        out += &format!("{name:<16} {addr:<22} {incarnation:<17} {keeper}\n");
+    }
+    let missing: Vec<&str> = rows(&told["keepers"])
+        .map(text)
+        .filter(|k| !rows(&told["members"]).any(|m| text(&m["name"]) == *k))
+        .collect();
+    if !missing.is_empty() {
+        out += &format!("keepers that are not there: {}\n", missing.join(", "));
+    }
+    out += &format!("\n{:<16} {:<8} {:<24} {:>9}\n", "task", "epoch", "held by", "left ms");
+    for c in rows(&told["claims"]) {
+        let (by, left) = match c["held_epoch"].as_u64() {
+            Some(_) => (format!("{} (this node)", text(&told["node"])), c["left_ms"].to_string()),
+            None => (text(&c["other"]["node"]).to_string(), "-".into()),
+        };
+        let epoch = c["held_epoch"].as_u64().map_or("-".into(), |e| e.to_string());
+        out += &format!("{:<16} {epoch:<8} {by:<24} {left:>9}\n", text(&c["task"]));
+    }
+    if let Some(keeper) = told["keeper"].as_object() {
+        out += &format!("\nthis node is a keeper: {}\n", text(&keeper["standing"]));
+        for r in rows(&keeper["table"]) {
+            let (epoch, by, left) = (&r["epoch"], text(&r["holder"]["node"]), &r["left_ms"]);
+            out += &format!("{:<16} {epoch:<8} {by:<24} {left:>9}\n", text(&r["task"]));
+        }
+    }
+    let m = &told["messages"];
+    out += &format!(
+        "\nmessages: {} sent, {} taken; dropped: {} garbled, {} foreign, {} of another list of keepers\n",
+        m["sent"], m["taken"], m["garbled"], m["foreign"], m["other_keepers"]
+    );
+    out
+}
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod config;
 mod files;
+mod fleet;
 mod log;
 mod resolve;
 pub mod serve;
@@ -30,6 +31,8 @@
     Resolve(resolve::Resolve),
     /// Show how streams fare, from a node's log in JSON
     Streams(streams::Streams),
+    /// Ask a running node about its fleet
+    Fleet(fleet::Fleet),
     /// Print the version
     Version,
 }
@@ -101,6 +104,7 @@
             Err(e) => Err(e),
         },
         Command::Streams(streams) => streams.run(),
+        Command::Fleet(fleet) => fleet.run(),
         Command::Version => {
             println!("poppykeel {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -8,6 +8,7 @@
 use crate::transport::client::Shared;
 use crate::transport::clock::Clock;
 use crate::transport::discovery::Watch;
+use crate::transport::fleet::Fleet;
 use crate::transport::hub::Hub;
 use crate::transport::listener::accept;
 use crate::transport::messages::{Message, Phase};
@@ -129,7 +130,17 @@
         Rc::new(Shared::new(boot.clone(), bounds.clone(), tell.clone(), phases.clone(), streams.clone()));
     spawn_local(accept(listener, shared.clone(), phases));
     tracing::info!(node = %config.name, listen = %bound, "serving on {bound}");
-    let admin = Rc::new(Admin { tell: tell.clone(), phase: phase.clone(), reloads: Cell::default() });
+    let place = operator.fleet.as_ref().map(|fleet| fleet.place(&config.name)).transpose()?;
+    let fleet = match place {
+        Some(place) => Some(Fleet::start(place, tell.clone()).await?),
+        None => None,
+    };
+    let admin = Rc::new(Admin {
+        tell: tell.clone(),
+        phase: phase.clone(),
+        reloads: Cell::default(),
+        fleet: fleet.clone(),
+    });
     let (mut taken, mut turned_down) = (0, 0);
     if let Some(listener) = admins {
         let at = listener.local_addr().map_err(|e| format!("config: admin: {e}"))?;
@@ -170,6 +181,9 @@
         admin.reloads.set((taken, turned_down));
     }
     tracing::info!(node = %config.name, "draining");
+    if let Some(fleet) = &fleet {
+        fleet.leave();
+    }
     let _ = phase.send(Phase::Draining);
     tokio::time::sleep(bounds.linger).await;
     let _ = phase.send(Phase::Closing);
--- a/src/protocol/admin.rs
+++ b/src/protocol/admin.rs
@@ -12,6 +12,8 @@
     Ready,
     /// The figures.
     Telemetry,
+    /// Who is in the fleet, and who holds what.
+    Fleet,
     /// Take no new clients and let those there are go.
     Evacuate,
     /// Back to work.
@@ -43,6 +45,7 @@
     let (call, wanted) = match target.split('?').next().unwrap_or_default() {
         "/api/ready" => (Call::Ready, "GET"),
         "/api/telemetry" => (Call::Telemetry, "GET"),
+        "/api/fleet" => (Call::Fleet, "GET"),
         "/api/evacuate" => (Call::Evacuate, "POST"),
         "/api/rejoin" => (Call::Rejoin, "POST"),
         other => return Err(Reject { status: 404, reason: format!("no call {other}") }),
@@ -73,9 +76,18 @@
     for (name, value) in rest {
         let _ = writeln!(body, "app_{name} {value}");
     }
+    answer("text/plain", &body)
+}
+
+/// The answer that carries an object.
+pub fn json(body: &str) -> Bytes {
+    answer("application/json", body)
+}
+
+fn answer(kind: &str, body: &str) -> Bytes {
     let length = body.len();
     format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+        "HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}"
     )
     .into()
 }
--- a/src/transport/admin.rs
+++ b/src/transport/admin.rs
@@ -1,6 +1,7 @@
 //! The operators' own address: one call a connection, answered whatever the load, whoever else stays silent there.
 
 use super::client::discard;
+use super::fleet::Fleet;
 use super::messages::{Message, Phase};
 use super::Wire;
 use crate::protocol::admin::{self, Call, Figures};
@@ -35,6 +36,8 @@
     pub phase: Rc<watch::Sender<Phase>>,
     /// Files taken and turned down at SIGHUP.
     pub reloads: Cell<(u64, u64)>,
+    /// The node's part in its fleet, where it has one.
+    pub fleet: Option<Rc<Fleet>>,
 }
 
 impl Admin {
@@ -87,6 +90,10 @@
                     None => request::own_answer(503, "the node is ending", None, true),
                 }
             }
+            Call::Fleet => match &self.fleet {
+                Some(fleet) => admin::json(&fleet.status().to_string()),
+                None => request::own_answer(404, "this node is in no fleet", None, true),
+            },
             Call::Evacuate => {
                 tracing::info!("evacuating at an operator's call");
                 self.move_on(Phase::Serving, Phase::Evacuating);
--- /dev/null
+++ b/src/transport/fleet/mod.rs
@@ -0,0 +1,264 @@
+//! The fleet's driver: sockets, timers and the disk round [`poppykeel_fleet::Node`]. Without `[fleet]` none of this
+//! exists: no listener, no thread, no file.
+
+mod clock;
+mod disk;
+mod report;
+mod status;
+
+use crate::routing::Micros;
+use crate::transport::messages::Message;
+use clock::SleepClock;
+use disk::{Disk, Told};
+use poppykeel_fleet::envelope::{self, Body, Dropped, Envelope};
+use poppykeel_fleet::{Node, Out};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{mpsc, Notify};
+use tokio::task::spawn_local;
+
+/// Datagrams taken in one turn.
+const TURN: usize = 64;
+/// Long messages that come or go at once, over connections.
+const MOST_CONNECTIONS: usize = 64;
+/// A long message must pass within this time.
+const PASS: Duration = Duration::from_secs(2);
+/// Nothing is due: look again after this.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// A node's place in its fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// What the machine is told.
+    pub node: poppykeel_fleet::Settings,
+    /// Where this node listens, by UDP and TCP.
+    pub listen: SocketAddr,
+    /// Where nodes are reached from here, where that differs from what they say.
+    pub via: BTreeMap<String, SocketAddr>,
+    /// A keeper's folder.
+    pub folder: Option<PathBuf>,
+    /// Where the fleet's report goes.
+    pub report: Option<Report>,
+}
+
+/// The fleet's report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// The collector.
+    pub to: SocketAddr,
+    /// Microseconds from one to the next.
+    pub every: Micros,
+}
+
+/// Messages dropped, by reason.
+#[derive(Clone, Copy, Debug, Default)]
+struct DroppedCounts {
+    garbled: u64,
+    foreign: u64,
+    unreached: u64,
+}
+
+/// The driver.
+pub struct Fleet {
+    place: Place,
+    node: RefCell<Node>,
+    clock: SleepClock,
+    socket: UdpSocket,
+    disk: Option<Disk>,
+    wake: Notify,
+    dropped: Cell<DroppedCounts>,
+    connections: Cell<usize>,
+    tell: mpsc::Sender<Message>,
+    reports: report::Counts,
+}
+
+impl Fleet {
+    /// Starts a node's part in its fleet.
+    ///
+    /// # Errors
+    /// Names the key at fault.
+    pub async fn start(place: Place, tell: mpsc::Sender<Message>) -> Result<Rc<Fleet>, String> {
+        let named = |e: std::io::Error| format!("fleet.listen: {}: {e}", place.listen);
+        let socket = UdpSocket::bind(place.listen).await.map_err(named)?;
+        let listener = TcpListener::bind(place.listen).await.map_err(named)?;
+        let clock = SleepClock::start();
+        let keeper = place.node.keepers.contains_key(&place.node.me);
+        let folder = place.folder.as_ref().filter(|_| keeper);
+        let (disk, kept, told) = match folder.map(|f| Disk::open(f)).transpose()? {
+            Some((disk, kept, told)) => (Some(disk), Some(kept), Some(told)),
+            None => (None, None, None),
+        };
+        let node = RefCell::new(Node::new(place.node.clone(), rand::random(), kept, clock.now()));
+        let (dropped, connections, wake) = Default::default();
+        let reports = report::Counts::default();
+        let fleet =
+            Rc::new(Fleet { place, node, clock, socket, disk, wake, dropped, connections, tell, reports });
+        tracing::info!(fleet = %fleet.place.node.fleet, listen = %fleet.place.listen, keeper, "in the fleet");
+        spawn_local(fleet.clone().listen(listener));
+        spawn_local(fleet.clone().run(told));
+        if let Some(report) = fleet.place.report.clone() {
+            spawn_local(fleet.clone().report(report));
+        }
+        Ok(fleet)
+    }
+
+    /// Gives all tasks back and leaves in order.
+    pub fn leave(self: &Rc<Self>) {
+        let out = self.node.borrow_mut().leave(self.clock.now());
+        self.carry_out(out);
+    }
+
+    /// The epoch under which this process may act at this moment.
+    fn may_act(&self, task: &str) -> Option<u64> {
+        self.node.borrow().may_act(task, self.clock.now())
+    }
+
+    async fn run(self: Rc<Self>, told: Option<mpsc::Receiver<Told>>) {
+        let mut told = told;
+        let mut bytes = vec![0; envelope::MOST + 1024];
+        loop {
+            let due = self.node.borrow().due();
+            let wait = due.map_or(IDLE, |at| Duration::from_micros(at.saturating_sub(self.clock.now())));
+            let disk = async {
+                match &mut told {
+                    Some(told) => told.recv().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                came = self.socket.recv_from(&mut bytes) => if let Ok((length, _)) = came {
+                    self.receive(&bytes[..length]);
+                    for _ in 0..TURN {
+                        let Ok((length, _)) = self.socket.try_recv_from(&mut bytes) else { break };
+                        self.receive(&bytes[..length]);
+                    }
+                },
+                told = disk => match told {
+                    Some(Ok(number)) => {
+                        let out = self.node.borrow_mut().written(number);
+                        self.carry_out(out);
+                    }
+                    Some(Err(why)) => self.broke(&why),
+                    None => self.broke("the disk's thread has ended"),
+                },
+                () = self.wake.notified() => {}
+                () = tokio::time::sleep(wait.min(IDLE)) => {}
+            }
+            let out = self.node.borrow_mut().turn(self.clock.now());
+            self.carry_out(out);
+        }
+    }
+
+    fn broke(&self, why: &str) {
+        if !self.node.borrow().status(self.clock.now()).broken {
+            tracing::error!(why, "the keeper's disk failed: it answers nothing until a restart");
+        }
+        self.node.borrow_mut().broke();
+    }
+
+    fn receive(self: &Rc<Self>, bytes: &[u8]) {
+        let s = &self.place.node;
+        match envelope::read(bytes, &s.fleet, &s.me) {
+            Ok(envelope) => self.take(envelope),
+            Err(why) => self.count(|d| match why {
+                Dropped::Garbled => d.garbled += 1,
+                Dropped::Foreign => d.foreign += 1,
+            }),
+        }
+    }
+
+    fn take(self: &Rc<Self>, envelope: Envelope) {
+        match envelope.body {
+            Body::AskFigures(number) => self.tell_figures(envelope.from.0, number),
+            Body::Figures(number, figures) => self.reports.heard(&envelope.from.0, number, figures),
+            _ => {
+                let out = self.node.borrow_mut().receive(envelope, self.clock.now());
+                self.carry_out(out);
+            }
+        }
+    }
+
+    fn count(&self, change: impl FnOnce(&mut DroppedCounts)) {
+        let mut dropped = self.dropped.get();
+        change(&mut dropped);
+        self.dropped.set(dropped);
+    }
+
+    fn carry_out(self: &Rc<Self>, out: Vec<Out>) {
+        for out in out {
+            match out {
+                Out::Write(number, records) => {
+                    if !self.disk.as_ref().is_some_and(|disk| disk.write(number, records)) {
+                        self.broke("more writes wait than there is room for");
+                    }
+                }
+                Out::Send(envelope, hint) => self.send(envelope, hint),
+            }
+        }
+    }
+
+    fn send(self: &Rc<Self>, envelope: Envelope, hint: Option<SocketAddr>) {
+        if envelope.to == self.place.node.me {
+            let own = self.clone();
+            spawn_local(async move { own.take(envelope) });
+            return;
+        }
+        let known = self.place.via.get(&envelope.to).copied();
+        let Some(addr) = known.or_else(|| self.node.borrow().addr(&envelope.to)).or(hint) else {
+            return self.count(|d| d.unreached += 1);
+        };
+        let bytes = envelope::write(&envelope);
+        if bytes.len() <= envelope::DATAGRAM {
+            // What does not go out is lost, as any datagram may be.
+            if self.socket.try_send_to(&bytes, addr).is_err() {
+                self.count(|d| d.unreached += 1);
+            }
+            return;
+        }
+        if self.connections.get() >= MOST_CONNECTIONS {
+            return self.count(|d| d.unreached += 1);
+        }
+        self.connections.set(self.connections.get() + 1);
+        let own = self.clone();
+        spawn_local(async move {
+            let pass = async {
+                let mut stream = TcpStream::connect(addr).await?;
+                stream.write_all(&bytes).await?;
+                stream.shutdown().await
+            };
+            if !matches!(tokio::time::timeout(PASS, pass).await, Ok(Ok(()))) {
+                own.count(|d| d.unreached += 1);
+            }
+            own.connections.set(own.connections.get() - 1);
+        });
+    }
+
+    /// Long messages, one a connection.
+    async fn listen(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            if self.connections.get() >= MOST_CONNECTIONS {
+                continue;
+            }
+            self.connections.set(self.connections.get() + 1);
+            let own = self.clone();
+            spawn_local(async move {
+                let mut bytes = Vec::new();
+                let mut stream = stream.take(envelope::MOST as u64 + 16);
+                if let Ok(Ok(_)) = tokio::time::timeout(PASS, stream.read_to_end(&mut bytes)).await {
+                    own.receive(&bytes);
+                }
+                own.connections.set(own.connections.get() - 1);
+            });
+        }
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod clock;
 pub mod discovery;
+pub mod fleet;
 pub mod hub;
 pub mod listener;
 pub mod messages;
