Break leases between nine processes: relays, stops, kills, old disks, and the stand-in's verdict

poppykeel-lab break leases starts real nodes whose links go through the lab's relays (loss, delay, repeats, reorder, cuts one way, splits), stops, kills and starts them again with right, older and empty disks, and runs their clocks fast, slow and a year off, by a seed. The verdict is read from what the stand-in collector recorded alone: a process that looks at its lease before each act leaves at most one late act; a second one is an overlap.

The first run found a real fault: at a fleet's first start one keeper could find all others blank and count from there, after which the others never heard of all being blank and never granted (seen: 'asking the other keepers (1 answered, 1 with no memory)' for ever). Clocks run beyond the stated drift are found by the record, so the verdict can fail.

--- a/crates/fleet/src/envelope.rs
+++ b/crates/fleet/src/envelope.rs
@@ -36,6 +36,8 @@
     pub dispatches: u64,
     /// Requests taken and not ended.
     pub concurrent: u64,
+    /// Its wall clock, in microseconds of Unix time.
+    pub wall: u64,
 }
 
 /// A message with its address.
--- a/crates/fleet/src/lease/claim/check.rs
+++ b/crates/fleet/src/lease/claim/check.rs
@@ -267,7 +267,7 @@
             claim.known = if self.ahead { n as u64 } else { 0 };
             claim
         };
-        let disk = vec![Record::Whole];
+        let disk = vec![Record::Whole(Vec::new())];
         // The fleet is in service: its keepers have been granting for long.
         let keeper = |k| {
             let rules = Rules { trust: true, ..self.rules(k) };
@@ -353,7 +353,7 @@
             Step::Restart(k) => {
                 world.restarts -= 1;
                 if self.old_disk {
-                    world.disks[k] = vec![Record::Whole];
+                    world.disks[k] = vec![Record::Whole(Vec::new())];
                 }
                 let start = u64::from(self.restarts - world.restarts);
                 let now = self.keeper_now(last, k);
--- a/crates/fleet/src/lease/keeper.rs
+++ b/crates/fleet/src/lease/keeper.rs
@@ -28,8 +28,8 @@
     Recalling {
         /// Those that answered from memory.
         heard: BTreeSet<usize>,
-        /// Those that answered that they have none.
-        blank: BTreeSet<usize>,
+        /// Those that answered that they have none, with their starts.
+        blank: BTreeMap<usize, u64>,
     },
     /// What it granted before its start may still be held until this time of its clock.
     Waiting(Micros),
@@ -78,6 +78,8 @@
     start: u64,
     began: Micros,
     blank: bool,
+    /// Where all keepers began with no memory: the others then, by place and start.
+    founders: BTreeSet<(usize, u64)>,
     table: BTreeMap<String, Grant>,
     standing: Standing,
 }
@@ -85,11 +87,16 @@
 impl Keeper {
     /// A keeper that starts now with what its disk holds. `start` must differ from that of earlier starts.
     pub fn new(rules: Rules, start: u64, kept: &[Record], now: Micros) -> Keeper {
-        let blank = !kept.contains(&Record::Whole);
+        let whole = kept.iter().find_map(|record| match record {
+            Record::Whole(founders) => Some(founders),
+            Record::Entry(_) => None,
+        });
+        let blank = whole.is_none();
+        let founders = whole.into_iter().flatten().copied().collect();
         let mut table: BTreeMap<String, Grant> = BTreeMap::new();
         let entries = kept.iter().filter_map(|record| match record {
             Record::Entry(entry) => Some(entry.clone()),
-            Record::Whole => None,
+            Record::Whole(_) => None,
         });
         for Entry { task, epoch, holder, length } in entries {
             // How much of it has run out nobody knows: all of it may be ahead.
@@ -101,9 +108,9 @@
         }
         let standing = match rules.trust && !blank {
             true => Standing::Granting,
-            false => Standing::Recalling { heard: BTreeSet::new(), blank: BTreeSet::new() },
+            false => Standing::Recalling { heard: BTreeSet::new(), blank: BTreeMap::new() },
         };
-        Keeper { rules, start, began: now, blank, table, standing }
+        Keeper { rules, start, began: now, blank, founders, table, standing }
     }
 
     /// How far it has come.
@@ -129,9 +136,11 @@
             // Every majority that this keeper was part of has a member among any such number of others. All blank is
             // a fleet's first start.
             let first = self.blank && heard.is_empty() && blank.len() == others;
+            if first {
+                self.founders = blank.iter().map(|(keeper, start)| (*keeper, *start)).collect();
+            }
             if heard.len() >= majority.min(others) || first {
-                self.standing = Standing::Waiting(self.began.saturating_add(self.rules.longest));
-                whole = std::mem::take(&mut self.blank).then_some(Record::Whole);
+                whole = self.counts_from_here();
             }
         }
         if matches!(self.standing, Standing::Waiting(until) if now >= until) {
@@ -140,6 +149,13 @@
         whole
     }
 
+    /// Its memory counts; what it granted before its start may still be held.
+    fn counts_from_here(&mut self) -> Option<Record> {
+        self.standing = Standing::Waiting(self.began.saturating_add(self.rules.longest));
+        let founders = self.founders.iter().copied().collect();
+        std::mem::take(&mut self.blank).then_some(Record::Whole(founders))
+    }
+
     /// What to ask the other keepers, again and again until it grants.
     pub fn recall(&self) -> Option<ToKeeper> {
         let Standing::Recalling { .. } = self.standing else { return None };
@@ -174,10 +190,12 @@
             }
             ToKeeper::Recall { keeper, start } => {
                 let epochs = self.table.iter().map(|(task, g)| (task.clone(), g.epoch)).collect();
-                let memory = ToKeeper::Memory { keeper: self.rules.me, start, blank: self.blank, epochs };
+                let together = self.founders.contains(&(keeper, start));
+                let (me, own, blank) = (self.rules.me, self.start, self.blank);
+                let memory = ToKeeper::Memory { keeper: me, start, own, blank, together, epochs };
                 Done { memory: Some((keeper, memory)), ..Done::default() }
             }
-            ToKeeper::Memory { keeper, start, blank, epochs } => {
+            ToKeeper::Memory { keeper, start, own, blank, together, epochs } => {
                 if start != self.start || keeper == self.rules.me || keeper >= self.rules.keepers {
                     return Done::default();
                 }
@@ -185,14 +203,16 @@
                     return Done::default();
                 };
                 if blank {
-                    blanks.insert(keeper);
+                    blanks.insert(keeper, own);
                 } else {
                     heard.insert(keeper);
                     blanks.remove(&keeper);
                 }
                 let learned = epochs.into_iter().filter_map(|(task, epoch)| self.learn(task, epoch));
                 let mut write: Vec<Record> = learned.map(Record::Entry).collect();
-                write.extend(self.advance(now));
+                // Another keeper found all blank, this very start among them, before this one did.
+                let founded = (together && self.blank).then(|| self.counts_from_here()).flatten();
+                write.extend(founded.or_else(|| self.advance(now)));
                 Done { write, ..Done::default() }
             }
         }
@@ -260,7 +280,7 @@
             let (task, holder) = (task.clone(), g.holder.clone());
             Record::Entry(Entry { task, epoch: g.epoch, holder, length: g.length })
         };
-        let whole = (!self.blank).then_some(Record::Whole);
+        let whole = (!self.blank).then(|| Record::Whole(self.founders.iter().copied().collect()));
         self.table.iter().map(entry).chain(whole).collect()
     }
 }
--- a/crates/fleet/src/lease/messages.rs
+++ b/crates/fleet/src/lease/messages.rs
@@ -50,8 +50,12 @@
         keeper: usize,
         /// The start that asked.
         start: u64,
+        /// The start of the one who answers.
+        own: u64,
         /// Whether the one who answers has no memory of its own.
         blank: bool,
+        /// Whether the start that asked was blank when the one who answers found all keepers blank.
+        together: bool,
         /// Each task with the highest epoch known for it.
         epochs: Vec<(String, u64)>,
     },
@@ -102,6 +106,7 @@
 pub enum Record {
     /// A grant, or an epoch heard of from another keeper.
     Entry(Entry),
-    /// From here on this keeper's memory counts: it has heard from enough of the others, or all began with none.
-    Whole,
+    /// From here on this keeper's memory counts: it has heard from enough of the others, or all began with none, and
+    /// then these were the others by place and start.
+    Whole(Vec<(usize, u64)>),
 }
--- /dev/null
+++ b/crates/lab/src/breaks/faults.rs
@@ -0,0 +1,86 @@
+//! What goes wrong, drawn from a seed.
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+
+/// What kind of thing goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, clap::ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// SIGKILL of the holder.
+    KillHolder,
+    /// SIGKILL of a node drawn.
+    KillNode,
+    /// SIGKILL of a keeper drawn; it keeps its disk.
+    KillKeeper,
+    /// SIGKILL of the holder and a keeper.
+    KillBoth,
+    /// SIGKILL of all keepers at once.
+    KillKeepers,
+    /// SIGTERM of the holder.
+    EndHolder,
+    /// SIGSTOP of the holder, for up to ten leases.
+    StopHolder,
+    /// SIGSTOP of a keeper.
+    StopKeeper,
+    /// SIGKILL of a keeper that comes back with its disk of the run's beginning.
+    OldDisk,
+    /// SIGKILL of a keeper that comes back with no disk.
+    EmptyDisk,
+    /// Nothing passes from a keeper drawn to the others, but from them to it.
+    CutOneWay,
+    /// Nothing passes from the holder to the keepers, but from them to it.
+    CutHolder,
+    /// Two halves, as even as can be, that don't reach each other.
+    Split,
+    /// All links lose, delay, repeat and reorder.
+    Weather,
+}
+
+impl Kind {
+    const ALL: [Kind; 14] = [
+        Kind::KillHolder,
+        Kind::KillNode,
+        Kind::KillKeeper,
+        Kind::KillBoth,
+        Kind::KillKeepers,
+        Kind::EndHolder,
+        Kind::StopHolder,
+        Kind::StopKeeper,
+        Kind::OldDisk,
+        Kind::EmptyDisk,
+        Kind::CutOneWay,
+        Kind::CutHolder,
+        Kind::Split,
+        Kind::Weather,
+    ];
+}
+
+/// One thing that goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Fault {
+    /// What.
+    pub kind: Kind,
+    /// For how long, in milliseconds.
+    pub for_ms: u64,
+    /// A number from which whoever it befalls is drawn.
+    pub whom: u64,
+    /// How bad, from 0 to 1.
+    pub size: f64,
+}
+
+impl Fault {
+    /// Draws one, of these kinds or of all; `lease_ms` is the lease's length.
+    pub fn draw(rng: &mut Pcg64Mcg, only: &[Kind], lease_ms: u64) -> Fault {
+        let kinds = if only.is_empty() { &Kind::ALL[..] } else { only };
+        let kind = kinds[rng.random_range(0..kinds.len())];
+        // Mostly short against the lease, sometimes long, and up to ten leases for a stop.
+        let most = match (kind, rng.random_range(0..4)) {
+            (Kind::StopHolder, 0) => 10 * lease_ms,
+            (_, 0..=1) => 3 * lease_ms,
+            _ => lease_ms,
+        };
+        Fault { kind, for_ms: rng.random_range(lease_ms / 10..=most), whom: rng.random(), size: rng.random() }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/breaks/fleet.rs
@@ -0,0 +1,290 @@
+//! The fleet under test: processes, the links between them, discovery and model servers.
+
+use super::faults::{Fault, Kind};
+use super::history::History;
+use super::process::{Process, Start};
+use super::relay::{both, Relay, Weather};
+use crate::emulator::description::Run;
+use crate::sockets::{config, Discovery, Entry, Model};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// What the fleet looks like.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Processes.
+    pub nodes: usize,
+    /// The first so many are keepers.
+    pub keepers: usize,
+    /// The lease's length.
+    pub lease: Duration,
+    /// The drift that the nodes are told, in parts in a million.
+    pub drift: u32,
+    /// How wrong their clocks do run, in parts in a million.
+    pub skew: u32,
+    /// Clocks of keepers are as fast as that, and those of all others as slow, in place of clocks drawn between.
+    pub apart: bool,
+    /// Time between two acts.
+    pub every: Duration,
+    /// Whether wall clocks are wrong, some by a year.
+    pub walls: bool,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        let (lease, every) = (Duration::from_secs(1), Duration::from_millis(20));
+        Shape { nodes: 9, keepers: 3, lease, drift: 50_000, skew: 50_000, apart: false, every, walls: true }
+    }
+}
+
+/// The fleet.
+pub struct Fleet {
+    shape: Shape,
+    folder: PathBuf,
+    history: History,
+    starts: Vec<Start>,
+    processes: RefCell<Vec<Option<Process>>>,
+    /// By sender and receiver.
+    links: BTreeMap<(usize, usize), Relay>,
+    _discovery: Discovery,
+    _models: Vec<Model>,
+}
+
+fn copy(from: &Path, to: &Path) -> std::io::Result<()> {
+    let _ = std::fs::remove_dir_all(to);
+    std::fs::create_dir_all(to)?;
+    for entry in std::fs::read_dir(from)? {
+        let entry = entry?;
+        std::fs::copy(entry.path(), to.join(entry.file_name()))?;
+    }
+    Ok(())
+}
+
+impl Fleet {
+    /// Starts all of it; acts go to `collector`.
+    pub async fn start(
+        shape: &Shape,
+        program: &Path,
+        folder: &Path,
+        history: History,
+        collector: SocketAddr,
+        seed: u64,
+    ) -> Result<Fleet, String> {
+        let named = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xf1ee7);
+        let mut run = Run::default();
+        (run.fleet.nodes, run.fleet.servers, run.fleet.zones) = (shape.nodes, 2, 1);
+        let run = run.check()?;
+        let (mut models, mut entries) = (Vec::new(), Vec::new());
+        for n in 0..run.fleet.servers {
+            let model = Model::start(run.fleet.server.clone()).await?;
+            let (name, zone) = (format!("m-{n}"), "z0".to_string());
+            entries.push(Entry { name, addr: model.addr, zone, state: "up", started_ms: 0 });
+            models.push(model);
+        }
+        let discovery = Discovery::start(entries).await?;
+        let mut addrs = Vec::new();
+        let mut held = Vec::new();
+        for _ in 0..shape.nodes {
+            let pair = both().await.map_err(|e| format!("port: {e}"))?;
+            addrs.push(pair.0.local_addr().map_err(|e| format!("port: {e}"))?);
+            held.push(pair);
+        }
+        let mut links = BTreeMap::new();
+        for from in 0..shape.nodes {
+            for to in (0..shape.nodes).filter(|to| *to != from) {
+                links.insert((from, to), Relay::start(addrs[to], rng.random()).await?);
+            }
+        }
+        // The nodes take these ports now.
+        drop(held);
+        let mut starts = Vec::new();
+        for me in 0..shape.nodes {
+            let path = |kind: &str| folder.join(format!("node-{me}.{kind}"));
+            let (json, toml) = (path("json"), path("toml"));
+            let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+            std::fs::write(&json, config(&run, me, listen, &discovery)).map_err(|e| named(&json, e))?;
+            let keeper = |k: usize| format!("lab-{k} = \"{}\"", addrs[k]);
+            let keepers: Vec<String> = (0..shape.keepers).map(keeper).collect();
+            let via =
+                |to: usize| links.get(&(me, to)).map(|link: &Relay| format!("lab-{to} = \"{}\"", link.addr));
+            let via: Vec<String> = (0..shape.nodes).filter_map(via).collect();
+            let text = format!(
+                "[fleet]\nname = \"lab\"\nlisten = \"{}\"\nfolder = {:?}\nlease = \"{}ms\"\ndrift = {}\n\
+                 probe = \"200ms\"\npatience = \"100ms\"\n[fleet.keepers]\n{}\n[fleet.via]\n{}\n\
+                 [fleet.report]\nto = \"{collector}\"\nevery = \"{}ms\"\n",
+                addrs[me],
+                path("disk").display().to_string(),
+                shape.lease.as_millis(),
+                shape.drift,
+                keepers.join("\n"),
+                via.join("\n"),
+                shape.every.as_millis(),
+            );
+            std::fs::write(&toml, text).map_err(|e| named(&toml, e))?;
+            let skew = i64::from(shape.skew);
+            let clock_ppm = match (shape.apart, me < shape.keepers) {
+                (true, true) => skew,
+                (true, false) => -skew,
+                (false, _) => rng.random_range(-skew..=skew),
+            };
+            let year = 365 * 86_400;
+            let wall_s = if shape.walls { [0, 0, year, -year, 90][rng.random_range(0..5)] } else { 0 };
+            let (program, log) = (program.to_path_buf(), path("log"));
+            starts.push(Start {
+                program,
+                config: json,
+                operator: toml,
+                log,
+                admin: "127.0.0.1:0".into(),
+                clock_ppm,
+                wall_s,
+            });
+        }
+        let folder = folder.to_path_buf();
+        let fleet = Fleet {
+            shape: shape.clone(),
+            folder,
+            history,
+            starts,
+            processes: RefCell::new((0..shape.nodes).map(|_| None).collect()),
+            links,
+            _discovery: discovery,
+            _models: models,
+        };
+        (0..shape.nodes).try_for_each(|me| fleet.begin(me))?;
+        Ok(fleet)
+    }
+
+    fn begin(&self, me: usize) -> Result<(), String> {
+        self.history.add("start", json!({"node": me, "clock_ppm": self.starts[me].clock_ppm}));
+        self.processes.borrow_mut()[me] = Some(Process::start(&self.starts[me])?);
+        Ok(())
+    }
+
+    async fn kill(&self, me: usize) {
+        self.history.add("kill", json!({"node": me}));
+        let process = self.processes.borrow_mut()[me].take();
+        if let Some(process) = process {
+            process.kill().await;
+        }
+    }
+
+    fn disk(&self, me: usize) -> PathBuf {
+        self.folder.join(format!("node-{me}.disk"))
+    }
+
+    /// Keeps each keeper's disk as it is now, for [`Kind::OldDisk`].
+    pub fn keep_disks(&self) -> Result<(), String> {
+        for me in 0..self.shape.keepers {
+            copy(&self.disk(me), &self.disk(me).with_extension("old")).map_err(|e| format!("disk: {e}"))?;
+        }
+        Ok(())
+    }
+
+    /// Processes that have ended by themselves.
+    pub fn crashed(&self) -> Vec<(usize, String)> {
+        let mut processes = self.processes.borrow_mut();
+        let ended = |(me, p): (usize, &mut Option<Process>)| p.as_mut()?.ended().map(|why| (me, why));
+        processes.iter_mut().enumerate().filter_map(ended).collect()
+    }
+
+    fn set(&self, which: impl Fn(usize, usize) -> bool, weather: Weather) {
+        self.links.iter().filter(|(pair, _)| which(pair.0, pair.1)).for_each(|(_, link)| link.set(weather));
+    }
+
+    /// Plays one fault from its beginning to its end.
+    pub async fn play(&self, fault: &Fault, holder: usize) -> Result<(), String> {
+        let (nodes, keepers) = (self.shape.nodes, self.shape.keepers);
+        let span = Duration::from_millis(fault.for_ms);
+        let keeper = fault.whom as usize % keepers;
+        let node = fault.whom as usize % nodes;
+        self.history.add("fault", json!({"fault": fault, "holder": holder}));
+        let cut = Weather { cut: true, ..Weather::default() };
+        match fault.kind {
+            Kind::KillHolder => self.down(&[holder], span).await?,
+            Kind::KillNode => self.down(&[node], span).await?,
+            Kind::KillKeeper => self.down(&[keeper], span).await?,
+            Kind::KillBoth => self.down(&[holder, keeper], span).await?,
+            Kind::KillKeepers => self.down(&(0..keepers).collect::<Vec<_>>(), span).await?,
+            Kind::EndHolder => {
+                let process = self.processes.borrow_mut()[holder].take();
+                if let Some(process) = process {
+                    process.end().await;
+                }
+                tokio::time::sleep(span).await;
+                self.begin(holder)?;
+            }
+            Kind::StopHolder | Kind::StopKeeper => {
+                let whom = if fault.kind == Kind::StopHolder { holder } else { keeper };
+                let each = |act: fn(&Process)| self.processes.borrow()[whom].iter().for_each(act);
+                each(Process::stop);
+                tokio::time::sleep(span).await;
+                each(Process::wake);
+            }
+            Kind::OldDisk | Kind::EmptyDisk => {
+                self.kill(keeper).await;
+                tokio::time::sleep(span).await;
+                let disk = self.disk(keeper);
+                match fault.kind {
+                    Kind::OldDisk => copy(&disk.with_extension("old"), &disk),
+                    _ => std::fs::remove_dir_all(&disk),
+                }
+                .map_err(|e| format!("{}: {e}", disk.display()))?;
+                self.begin(keeper)?;
+                // One memory lost at a time: until it grants again the others keep theirs.
+                tokio::time::sleep(self.shape.lease * 2).await;
+            }
+            Kind::CutOneWay => {
+                self.set(|from, to| from == keeper && to != keeper, cut);
+                tokio::time::sleep(span).await;
+            }
+            Kind::CutHolder => {
+                self.set(|from, to| from == holder && to < keepers, cut);
+                tokio::time::sleep(span).await;
+            }
+            Kind::Split => {
+                let side = |n: usize| (n as u64 ^ fault.whom) & 1 == 0;
+                self.set(|from, to| side(from) != side(to), cut);
+                tokio::time::sleep(span).await;
+            }
+            Kind::Weather => {
+                let delay = self.shape.lease.mul_f64(fault.size);
+                let weather = Weather { cut: false, loss: fault.size / 2.0, repeat: 0.3, delay };
+                self.set(|_, _| true, weather);
+                tokio::time::sleep(span).await;
+            }
+        }
+        self.set(|_, _| true, Weather::default());
+        self.history.add("healed", json!({}));
+        Ok(())
+    }
+
+    async fn down(&self, whom: &[usize], span: Duration) -> Result<(), String> {
+        for me in whom {
+            self.kill(*me).await;
+        }
+        tokio::time::sleep(span).await;
+        for me in whom {
+            if self.processes.borrow()[*me].is_none() {
+                self.begin(*me)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all processes.
+    pub async fn end(&self) {
+        let processes: Vec<Process> =
+            self.processes.borrow_mut().iter_mut().filter_map(Option::take).collect();
+        for process in processes {
+            process.kill().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/breaks/history.rs
@@ -0,0 +1,35 @@
+//! What happened, in order: one JSON object a line.
+
+use crate::Micros;
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// The log of a run. Clones write to the same.
+#[derive(Clone)]
+pub struct History {
+    began: Instant,
+    file: Rc<RefCell<BufWriter<File>>>,
+}
+
+impl History {
+    /// Begins one.
+    pub fn begin(path: &Path) -> Result<History, String> {
+        let file = File::create(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Ok(History { began: Instant::now(), file: Rc::new(RefCell::new(BufWriter::new(file))) })
+    }
+    /// Microseconds since the beginning.
+    pub fn now(&self) -> Micros {
+        self.began.elapsed().as_micros() as Micros
+    }
+    /// Adds a line.
+    pub fn add(&self, what: &str, more: Value) {
+        let line = json!({"t_us": self.now(), "what": what, "more": more});
+        let mut file = self.file.borrow_mut();
+        let _ = writeln!(file, "{line}").and_then(|()| file.flush());
+    }
+}
--- /dev/null
+++ b/crates/lab/src/breaks/mod.rs
@@ -0,0 +1,16 @@
+//! Several processes of the program, and what goes wrong between them. Every link between two nodes goes through a
+//! relay of the lab's; what the processes act upon is a stand-in that writes everything down, and the verdict comes
+//! from its record alone. One seed plays a run's faults again.
+
+mod collector;
+mod faults;
+mod fleet;
+mod history;
+mod leases;
+mod process;
+mod relay;
+
+pub use collector::{judge, Act, Verdict};
+pub use faults::{Fault, Kind};
+pub use fleet::Shape;
+pub use leases::{run, Found, Wanted};
--- /dev/null
+++ b/crates/lab/src/breaks/relay.rs
@@ -0,0 +1,124 @@
+//! The link from one node to another: datagrams and connections pass, or don't.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::copy;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::{spawn_local, JoinHandle};
+
+/// Datagrams held back at once on one link; more are lost.
+const MOST_HELD: usize = 512;
+/// Connections at once on one link.
+const MOST_CONNECTIONS: usize = 32;
+
+/// What a link does to what passes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Weather {
+    /// Nothing passes.
+    pub cut: bool,
+    /// This part is lost.
+    pub loss: f64,
+    /// This part passes twice.
+    pub repeat: f64,
+    /// Each is held back by up to this, at random, so that what is sent later may come earlier.
+    pub delay: Duration,
+}
+
+/// A link in one direction.
+pub struct Relay {
+    /// Where its sender finds it.
+    pub addr: SocketAddr,
+    weather: Rc<Cell<Weather>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Relay {
+    /// Starts one to this address.
+    pub async fn start(to: SocketAddr, seed: u64) -> Result<Relay, String> {
+        let named = |e: std::io::Error| format!("relay: {e}");
+        let (socket, listener) = both().await.map_err(named)?;
+        let addr = socket.local_addr().map_err(named)?;
+        let weather: Rc<Cell<Weather>> = Rc::default();
+        let datagrams = spawn_local(datagrams(Rc::new(socket), to, weather.clone(), seed));
+        let connections = spawn_local(connections(listener, to, weather.clone()));
+        Ok(Relay { addr, weather, tasks: vec![datagrams, connections] })
+    }
+
+    /// From now on.
+    pub fn set(&self, weather: Weather) {
+        self.weather.set(weather);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// A port that is free for datagrams and connections alike.
+pub async fn both() -> std::io::Result<(UdpSocket, TcpListener)> {
+    let mut last = None;
+    for _ in 0..50 {
+        let socket = UdpSocket::bind("127.0.0.1:0").await?;
+        match TcpListener::bind(socket.local_addr()?).await {
+            Ok(listener) => return Ok((socket, listener)),
+            Err(e) => last = Some(e),
+        }
+    }
+    Err(last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()))
+}
+
+async fn datagrams(socket: Rc<UdpSocket>, to: SocketAddr, weather: Rc<Cell<Weather>>, seed: u64) {
+    let rng = RefCell::new(Pcg64Mcg::seed_from_u64(seed));
+    let held = Rc::new(Cell::new(0));
+    let mut bytes = vec![0; 65_536];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut bytes).await else { continue };
+        let (w, mut rng) = (weather.get(), rng.borrow_mut());
+        if w.cut || rng.random::<f64>() < w.loss {
+            continue;
+        }
+        let times = if rng.random::<f64>() < w.repeat { 2 } else { 1 };
+        for _ in 0..times {
+            let wait = w.delay.mul_f64(rng.random());
+            if wait.is_zero() {
+                let _ = socket.try_send_to(&bytes[..length], to);
+            } else if held.get() < MOST_HELD {
+                held.set(held.get() + 1);
+                let (socket, held, weather) = (socket.clone(), held.clone(), weather.clone());
+                let bytes = bytes[..length].to_vec();
+                spawn_local(async move {
+                    tokio::time::sleep(wait).await;
+                    held.set(held.get() - 1);
+                    if !weather.get().cut {
+                        let _ = socket.try_send_to(&bytes, to);
+                    }
+                });
+            }
+        }
+    }
+}
+
+async fn connections(listener: TcpListener, to: SocketAddr, weather: Rc<Cell<Weather>>) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let Ok((mut from, _)) = listener.accept().await else { continue };
+        if weather.get().cut || open.get() >= MOST_CONNECTIONS {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (open, delay) = (open.clone(), weather.get().delay);
+        spawn_local(async move {
+            tokio::time::sleep(delay).await;
+            if let Ok(mut stream) = TcpStream::connect(to).await {
+                let _ = tokio::time::timeout(Duration::from_secs(5), copy(&mut from, &mut stream)).await;
+            }
+            open.set(open.get() - 1);
+        });
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
+use poppykeel_lab::breaks::{self, Kind, Shape, Wanted};
 use poppykeel_lab::emulator::description::Run as Description;
 use poppykeel_lab::emulator::policies::Policy;
 use poppykeel_lab::emulator::World;
@@ -39,6 +40,8 @@
     Load(Load),
     /// Show a run of the emulator, or a running node by its log, on the terminal
     View(View),
+    /// Start several nodes and break what is between them; exit code 1 where a guarantee did not hold
+    Break(Break),
     /// Read an experiment's file and say what it comes to
     Check {
         /// The experiment, as TOML
@@ -46,6 +49,52 @@
     },
 }
 
+#[derive(Args)]
+struct Break {
+    #[command(subcommand)]
+    what: Breaks,
+}
+
+#[derive(Subcommand)]
+enum Breaks {
+    /// A task held under a lease: never two holders, and soon one again
+    Leases(BreakLeases),
+}
+
+#[derive(Args)]
+struct BreakLeases {
+    /// Processes
+    #[arg(long, default_value_t = 9)]
+    nodes: usize,
+    /// The first so many are keepers: 1, 3, 5 or 7
+    #[arg(long, default_value_t = 3)]
+    keepers: usize,
+    /// Faults, one after the other
+    #[arg(long, default_value_t = 20)]
+    rounds: usize,
+    /// From which all faults are drawn
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The lease's length, in milliseconds
+    #[arg(long, default_value_t = 1000)]
+    lease_ms: u64,
+    /// How wrong clocks may run as the nodes are told, in parts in a million
+    #[arg(long, default_value_t = 50_000)]
+    drift: u32,
+    /// How wrong clocks do run, in parts in a million
+    #[arg(long, default_value_t = 50_000)]
+    skew: u32,
+    /// Only faults of these kinds
+    #[arg(long, value_enum, value_delimiter = ',')]
+    only: Vec<Kind>,
+    /// The node's program; by default this very one serves
+    #[arg(long, value_name = "FILE")]
+    node: Option<PathBuf>,
+    /// Where configurations, disks, logs and the history go
+    #[arg(long, value_name = "FOLDER", default_value = "target/lab/break-leases")]
+    out: PathBuf,
+}
+
 #[derive(Args)]
 struct Run {
     /// The experiment, as TOML
@@ -277,6 +326,23 @@
     }
 }
 
+impl BreakLeases {
+    fn run(&self) -> Result<bool, String> {
+        let program = sockets::program(self.node.as_deref())?;
+        let lease = std::time::Duration::from_millis(self.lease_ms);
+        let (nodes, keepers, drift, skew) = (self.nodes, self.keepers, self.drift, self.skew);
+        let shape = Shape { nodes, keepers, lease, drift, skew, ..Shape::default() };
+        let (rounds, seed, only) = (self.rounds, self.seed, self.only.clone());
+        let wanted = Wanted { shape, rounds, seed, only, fence: true };
+        let found = on_sockets(breaks::run(&wanted, &program, &self.out))?;
+        found.wrong.iter().chain(&found.verdict.overlaps).for_each(|what| println!("{what}"));
+        let [p50, p99] = [0.5, 0.99].map(|part| found.quantile(part) as f64 / 1e6);
+        println!("each round's longest time without an act: p50 {p50:.2} s, p99 {p99:.2} s");
+        println!("{}", found.line(seed));
+        Ok(found.good())
+    }
+}
+
 impl Report {
     fn run(&self) -> Result<(), String> {
         let found = existing(&self.folder)?;
@@ -323,6 +389,12 @@
         Command::Up(up) => up.run(),
         Command::Load(load) => load.run(),
         Command::View(view) => view.run(),
+        Command::Break(Break { what: Breaks::Leases(leases) }) => match leases.run() {
+            Ok(true) => Ok(()),
+            // What there is to say has been shown.
+            Ok(false) => return ExitCode::FAILURE,
+            Err(e) => Err(e),
+        },
         Command::Check { file } => check(&file),
     };
     match done {
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -8,6 +8,9 @@
 mod nodes;
 mod up;
 
+pub(crate) use discovery::{Discovery, Entry};
 pub use load::play;
+pub(crate) use model::Model;
+pub(crate) use nodes::config;
 pub use nodes::program;
 pub use up::{up, Up};
--- /dev/null
+++ b/crates/lab/tests/breaks.rs
@@ -0,0 +1,75 @@
+//! Several processes of the program under faults: never two holders, and soon one again. The verdict is the stand-in's.
+
+use poppykeel_lab::breaks::{judge, run, Act, Found, Kind, Shape, Wanted};
+use std::path::{Path, PathBuf};
+
+fn folder(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("lab-breaks-{name}-{}", std::process::id()))
+}
+
+/// Plays a run with the lab's own program as the node; what it leaves is kept where it was not good.
+fn play(name: &str, wanted: &Wanted) -> Found {
+    let (folder, program) = (folder(name), Path::new(env!("CARGO_BIN_EXE_poppykeel-lab")));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let found = tokio::task::LocalSet::new().block_on(&runtime, run(wanted, program, &folder)).unwrap();
+    println!("{}", found.line(wanted.seed));
+    if found.good() {
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+    found
+}
+
+fn wanted(seed: u64, rounds: usize, only: &[Kind]) -> Wanted {
+    Wanted { shape: Shape::default(), rounds, seed, only: only.to_vec(), fence: true }
+}
+
+#[test]
+fn nine_processes_under_drawn_faults_never_have_two_holders() {
+    let found = play("drawn", &wanted(11, 9, &[]));
+    assert!(found.good(), "{:?} {:?}", found.verdict.overlaps, found.wrong);
+    assert!(found.verdict.acts > 300, "{}", found.verdict.acts);
+}
+
+#[test]
+fn keepers_lost_one_by_one_with_old_and_empty_disks_forget_nothing() {
+    let only = [Kind::OldDisk, Kind::EmptyDisk, Kind::KillKeepers, Kind::KillBoth];
+    let found = play("disks", &wanted(5, 5, &only));
+    assert!(found.good(), "{:?} {:?}", found.verdict.overlaps, found.wrong);
+}
+
+/// Clocks that run far more wrong than the nodes were told break the guarantee, and the stand-in's record shows it: the
+/// verdict can fail.
+#[test]
+fn clocks_beyond_the_stated_drift_are_found_by_the_record() {
+    let shape = Shape { drift: 0, skew: 400_000, apart: true, keepers: 1, nodes: 5, ..Shape::default() };
+    let only = vec![Kind::CutHolder];
+    let broken = (1..=6).any(|seed| {
+        let wanted = Wanted { shape: shape.clone(), rounds: 3, seed, only: only.clone(), fence: false };
+        let found = play("drift", &wanted);
+        let _ = std::fs::remove_dir_all(folder("drift"));
+        !found.verdict.overlaps.is_empty()
+    });
+    assert!(broken);
+}
+
+#[test]
+fn the_verdict_tells_one_late_act_from_a_second_holder() {
+    let act = |at, epoch, node: &str, taken| Act {
+        at,
+        epoch,
+        holder: (node.to_string(), "1".to_string()),
+        slot: 0,
+        taken,
+    };
+    // Stopped between look and act: one late act, refused.
+    let stopped = [act(1, 1, "a", true), act(2, 2, "b", true), act(3, 1, "a", false), act(4, 2, "b", true)];
+    let verdict = judge(&stopped);
+    assert_eq!((verdict.overlaps.len(), verdict.refused, verdict.gaps[0]), (0, 1, (2, 2)));
+    // It looked again and went on.
+    let two = [&stopped[..], &[act(5, 1, "a", false)]].concat();
+    assert_eq!(judge(&two).overlaps.len(), 1);
+    // One epoch of two nodes.
+    assert_eq!(judge(&[act(1, 1, "a", true), act(2, 1, "b", true)]).overlaps.len(), 1);
+    // What is acted upon did not look at the epoch.
+    assert_eq!(judge(&[act(1, 2, "a", true), act(2, 1, "b", true)]).overlaps.len(), 1);
+}
--- a/src/transport/fleet/disk.rs
+++ b/src/transport/fleet/disk.rs
@@ -24,18 +24,18 @@
 #[derive(Default)]
 struct Newest {
     entries: BTreeMap<String, Record>,
-    whole: bool,
+    whole: Option<Record>,
 }
 
 impl Newest {
     fn take(&mut self, record: &Record) {
         match record {
             Record::Entry(entry) => drop(self.entries.insert(entry.task.clone(), record.clone())),
-            Record::Whole => self.whole = true,
+            Record::Whole(_) => self.whole = Some(record.clone()),
         }
     }
     fn all(&self) -> impl Iterator<Item = Record> + '_ {
-        self.entries.values().cloned().chain(self.whole.then_some(Record::Whole))
+        self.entries.values().cloned().chain(self.whole.clone())
     }
 }
 
--- a/src/transport/fleet/report.rs
+++ b/src/transport/fleet/report.rs
@@ -29,6 +29,8 @@
     /// Taken, refused by the collector, without an answer.
     pub(super) done: Cell<(u64, u64, u64)>,
     number: Cell<u64>,
+    /// By how much this node's wall clock is behind the fleet's middle one, in microseconds.
+    behind: Cell<i64>,
     figures: RefCell<BTreeMap<String, Figures>>,
 }
 
@@ -46,6 +48,13 @@
     u64::try_from(now.saturating_add(offset.saturating_mul(1_000_000))).unwrap_or(0)
 }
 
+/// By how much this clock is behind the middle one of all: one that is a year wrong must not name the interval.
+fn behind(own: u64, figures: &BTreeMap<String, Figures>) -> i64 {
+    let mut walls: Vec<u64> = figures.values().map(|f| f.wall).collect();
+    walls.sort_unstable();
+    walls.get(walls.len() / 2).map_or(0, |middle| *middle as i64 - own as i64)
+}
+
 impl Fleet {
     /// Wants the task, and does it once each interval while it is held.
     pub(super) async fn report(self: Rc<Self>, report: Report) {
@@ -53,13 +62,15 @@
         self.wake.notify_one();
         let every = Duration::from_micros(report.every);
         loop {
-            let into = wall() % report.every;
+            let fleet_wall = || wall().saturating_add_signed(self.reports.behind.get());
+            let into = fleet_wall() % report.every;
             tokio::time::sleep(Duration::from_micros(report.every - into)).await;
             if self.may_act(TASK).is_none() {
                 continue;
             }
-            let slot = wall() / report.every;
+            let slot = fleet_wall() / report.every;
             let figures = self.gather(AWAIT.min(every / 4)).await;
+            self.reports.behind.set(behind(wall(), &figures));
             // The look before the act: under this epoch or not at all.
             let Some(epoch) = self.may_act(TASK) else { continue };
             let (taken, refused, silent) = self.reports.done.get();
@@ -141,7 +152,7 @@
             }
             let Ok(told) = told.await else { return };
             let (dispatches, concurrent) = (told.dispatches, told.concurrent as u64);
-            let figures = Figures { replies: told.replies, dispatches, concurrent };
+            let figures = Figures { replies: told.replies, dispatches, concurrent, wall: wall() };
             let out = own.node.borrow_mut().post(to, None, Body::Figures(number, figures));
             own.carry_out(vec![out]);
         });
