Take the fleet's nodes out one after the other under a lease: poppykeel fleet roll

Operators drain and return nodes by hand, one call a node. A node that does not answer counts as out until it must have come back by itself; an act from before the last question a node answered is not carried out; keepers go last and never below a majority. Decided in crates/fleet/src/roll.rs without I/O. Rejected: counting only nodes that membership shows, since one that is out and cut off would be forgotten by the next in charge.

--- a/crates/fleet/src/envelope.rs
+++ b/crates/fleet/src/envelope.rs
@@ -22,6 +22,8 @@
     AskFigures(u64),
     /// The answer to that.
     Figures(u64, Figures),
+    /// Of taking nodes out one after the other.
+    Roll(crate::roll::Message),
 }
 
 /// Requests served, refused and failed.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod lease;
 pub mod members;
 mod node;
+pub mod roll;
 
 pub use node::{Counts, Node, Out, Settings, Status};
 
--- a/crates/lab/src/breaks/fleet.rs
+++ b/crates/lab/src/breaks/fleet.rs
@@ -52,6 +52,7 @@
     processes: RefCell<Vec<Option<Process>>>,
     /// By sender and receiver.
     links: BTreeMap<(usize, usize), Relay>,
+    admins: Vec<SocketAddr>,
     _discovery: Discovery,
     _models: Vec<Model>,
 }
@@ -96,6 +97,12 @@
             addrs.push(pair.0.local_addr().map_err(|e| format!("port: {e}"))?);
             held.push(pair);
         }
+        let mut admins = Vec::new();
+        for _ in 0..shape.nodes {
+            let pair = both().await.map_err(|e| format!("port: {e}"))?;
+            admins.push(pair.0.local_addr().map_err(|e| format!("port: {e}"))?);
+            held.push(pair);
+        }
         let mut links = BTreeMap::new();
         for from in 0..shape.nodes {
             for to in (0..shape.nodes).filter(|to| *to != from) {
@@ -142,7 +149,7 @@
                 config: json,
                 operator: toml,
                 log,
-                admin: "127.0.0.1:0".into(),
+                admin: admins[me].to_string(),
                 clock_ppm,
                 wall_s,
             });
@@ -155,6 +162,7 @@
             starts,
             processes: RefCell::new((0..shape.nodes).map(|_| None).collect()),
             links,
+            admins,
             _discovery: discovery,
             _models: models,
         };
@@ -162,6 +170,11 @@
         Ok(fleet)
     }
 
+    /// Where operators call each node.
+    pub fn admins(&self) -> Vec<SocketAddr> {
+        self.admins.clone()
+    }
+
     fn begin(&self, me: usize) -> Result<(), String> {
         self.history.add("start", json!({"node": me, "clock_ppm": self.starts[me].clock_ppm}));
         self.processes.borrow_mut()[me] = Some(Process::start(&self.starts[me])?);
--- a/crates/lab/src/breaks/history.rs
+++ b/crates/lab/src/breaks/history.rs
@@ -17,8 +17,17 @@
 }
 
 impl History {
-    /// Begins one.
-    pub fn begin(path: &Path) -> Result<History, String> {
+    /// Begins one in a folder of its own: disks and logs of an earlier run would be taken for this one's.
+    pub fn fresh(folder: &Path) -> Result<History, String> {
+        let path = folder.join("history.jsonl");
+        let named = |e: std::io::Error| format!("{}: {e}", folder.display());
+        if path.exists() {
+            std::fs::remove_dir_all(folder).map_err(named)?;
+        }
+        std::fs::create_dir_all(folder).map_err(named)?;
+        History::begin(&path)
+    }
+    fn begin(path: &Path) -> Result<History, String> {
         let file = File::create(path).map_err(|e| format!("{}: {e}", path.display()))?;
         Ok(History { began: Instant::now(), file: Rc::new(RefCell::new(BufWriter::new(file))) })
     }
--- a/crates/lab/src/breaks/leases.rs
+++ b/crates/lab/src/breaks/leases.rs
@@ -72,12 +72,7 @@
 
 /// Plays it; `folder` takes configurations, disks, logs and the history.
 pub async fn run(wanted: &Wanted, program: &Path, folder: &Path) -> Result<Found, String> {
-    // Disks and logs of an earlier run would be taken for this one's.
-    if folder.join("history.jsonl").exists() {
-        std::fs::remove_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-    }
-    std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-    let history = History::begin(&folder.join("history.jsonl"))?;
+    let history = History::fresh(folder)?;
     history.add(
         "run",
         json!({"seed": wanted.seed, "rounds": wanted.rounds, "shape": format!("{:?}", wanted.shape)}),
--- a/crates/lab/src/breaks/mod.rs
+++ b/crates/lab/src/breaks/mod.rs
@@ -9,8 +9,11 @@
 mod leases;
 mod process;
 mod relay;
+mod roll;
 
-pub use collector::{judge, Act, Verdict};
+pub use collector::{judge, Act, Collector, Verdict};
 pub use faults::{Fault, Kind};
 pub use fleet::Shape;
+pub use history::History;
 pub use leases::{run, Found, Wanted};
+pub use roll::{roll, Roll, Rolled};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
-use poppykeel_lab::breaks::{self, Kind, Shape, Wanted};
+use poppykeel_lab::breaks::{self, Kind, Roll, Shape, Wanted};
 use poppykeel_lab::emulator::description::Run as Description;
 use poppykeel_lab::emulator::policies::Policy;
 use poppykeel_lab::emulator::World;
@@ -59,6 +59,39 @@
 enum Breaks {
     /// A task held under a lease: never two holders, and soon one again
     Leases(BreakLeases),
+    /// All nodes taken out one after the other: never more than allowed, and all in the end
+    Roll(BreakRoll),
+}
+
+impl Breaks {
+    fn run(&self) -> Result<bool, String> {
+        match self {
+            Breaks::Leases(leases) => leases.run(),
+            Breaks::Roll(roll) => roll.run(),
+        }
+    }
+}
+
+#[derive(Args)]
+struct BreakRoll {
+    /// Processes
+    #[arg(long, default_value_t = 9)]
+    nodes: usize,
+    /// At most so many are to be out at once
+    #[arg(long, default_value_t = 2)]
+    most: usize,
+    /// Faults that befall the one in charge
+    #[arg(long, default_value_t = 3)]
+    faults: usize,
+    /// From which all faults are drawn
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The node's program; by default this very one serves
+    #[arg(long, value_name = "FILE")]
+    node: Option<PathBuf>,
+    /// Where configurations, disks, logs and the history go
+    #[arg(long, value_name = "FOLDER", default_value = "target/lab/break-roll")]
+    out: PathBuf,
 }
 
 #[derive(Args)]
@@ -343,6 +376,20 @@
     }
 }
 
+impl BreakRoll {
+    fn run(&self) -> Result<bool, String> {
+        let program = sockets::program(self.node.as_deref())?;
+        let shape = Shape { nodes: self.nodes, every: std::time::Duration::from_secs(1), ..Shape::default() };
+        let wanted = Roll { shape, seed: self.seed, faults: self.faults, out: self.most };
+        let found = on_sockets(breaks::roll(&wanted, &program, &self.out))?;
+        println!(
+            "nodes {}, been out {}, most out at once {} of {}, in charge {}, {:.1} s, seed {}",
+            self.nodes, found.been, found.most, self.most, found.charges, found.seconds, self.seed
+        );
+        Ok(found.most <= self.most && found.back == self.nodes)
+    }
+}
+
 impl Report {
     fn run(&self) -> Result<(), String> {
         let found = existing(&self.folder)?;
@@ -389,7 +436,7 @@
         Command::Up(up) => up.run(),
         Command::Load(load) => load.run(),
         Command::View(view) => view.run(),
-        Command::Break(Break { what: Breaks::Leases(leases) }) => match leases.run() {
+        Command::Break(Break { what }) => match what.run() {
             Ok(true) => Ok(()),
             // What there is to say has been shown.
             Ok(false) => return ExitCode::FAILURE,
--- a/crates/lab/tests/breaks.rs
+++ b/crates/lab/tests/breaks.rs
@@ -1,6 +1,6 @@
 //! Several processes of the program under faults: never two holders, and soon one again. The verdict is the stand-in's.
 
-use poppykeel_lab::breaks::{judge, run, Act, Found, Kind, Shape, Wanted};
+use poppykeel_lab::breaks::{judge, roll, run, Act, Found, Kind, Roll, Shape, Wanted};
 use std::path::{Path, PathBuf};
 
 fn folder(name: &str) -> PathBuf {
@@ -73,3 +73,15 @@
     // What is acted upon did not look at the epoch.
     assert_eq!(judge(&[act(1, 2, "a", true), act(2, 1, "b", true)]).overlaps.len(), 1);
 }
+
+#[test]
+fn all_nodes_are_taken_out_in_turn_while_the_one_in_charge_is_lost_again_and_again() {
+    let (folder, program) = (folder("roll"), Path::new(env!("CARGO_BIN_EXE_poppykeel-lab")));
+    let wanted = Roll { shape: Shape::default(), seed: 4, faults: 3, out: 2 };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let found = tokio::task::LocalSet::new().block_on(&runtime, roll(&wanted, program, &folder)).unwrap();
+    println!("{found:?}");
+    assert!(found.most <= 2, "{found:?}");
+    assert!(found.back == 9 && found.been >= 6, "{found:?}");
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/src/program/fleet.rs
+++ b/src/program/fleet.rs
@@ -19,6 +19,21 @@
 enum What {
     /// Show members, keepers, and who holds what for how long
     Status(Status),
+    /// Take all nodes out one after the other: each lets its clients go, stays out for a while and comes back
+    Roll(Roll),
+}
+
+#[derive(Args)]
+struct Roll {
+    /// The operators' address of any node of the fleet
+    #[arg(long, env = "GW_ADMIN", value_name = "ADDRESS")]
+    admin: SocketAddr,
+    /// At most so many nodes are out at once
+    #[arg(long, default_value_t = 1)]
+    out: u32,
+    /// Each stays out for so long once its clients have gone
+    #[arg(long, default_value = "0s", value_parser = humantime::parse_duration)]
+    hold: Duration,
 }
 
 #[derive(Args)]
@@ -33,7 +48,15 @@
 
 impl Fleet {
     pub(super) fn run(&self) -> Result<(), String> {
-        let What::Status(status) = &self.what;
+        let status = match &self.what {
+            What::Status(status) => status,
+            What::Roll(roll) => {
+                let (out, hold) = (roll.out, roll.hold.as_millis());
+                let told = call(roll.admin, &format!("POST /api/fleet/roll?out={out}&hold_ms={hold}"))?;
+                println!("{told}\n'poppykeel fleet status' shows how far it is");
+                return Ok(());
+            }
+        };
         let body = call(status.admin, "GET /api/fleet")?;
         let told: Value = serde_json::from_str(&body).map_err(|e| format!("{}: {e}", status.admin))?;
         match status.json {
@@ -99,6 +122,22 @@
             out += &format!("{:<16} {epoch:<8} {by:<24} {left:>9}\n", text(&r["task"]));
         }
     }
+    if let Some(roll) = told["roll"].as_object() {
+        out += &format!(
+            "\nroll {} ordered at {}: {} nodes, at most {} out; this node: {}\n",
+            roll["number"],
+            text(&roll["by"]),
+            roll["nodes"],
+            roll["out"],
+            text(&roll["part"])
+        );
+        if let Some(charge) = roll["charge"].as_object() {
+            out += &format!(
+                "this node is in charge: {} out, {} done, {} waiting, {} not heard of\n",
+                charge["out"], charge["done"], charge["waiting"], charge["gone"]
+            );
+        }
+    }
     let m = &told["messages"];
     out += &format!(
         "\nmessages: {} sent, {} taken; dropped: {} garbled, {} foreign, {} of another list of keepers\n",
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -132,7 +132,7 @@
     tracing::info!(node = %config.name, listen = %bound, "serving on {bound}");
     let place = operator.fleet.as_ref().map(|fleet| fleet.place(&config.name)).transpose()?;
     let fleet = match place {
-        Some(place) => Some(Fleet::start(place, tell.clone()).await?),
+        Some(place) => Some(Fleet::start(place, tell.clone(), phase.clone()).await?),
         None => None,
     };
     let admin = Rc::new(Admin {
--- a/src/protocol/admin.rs
+++ b/src/protocol/admin.rs
@@ -14,6 +14,13 @@
     Telemetry,
     /// Who is in the fleet, and who holds what.
     Fleet,
+    /// Take the fleet's nodes out one after the other.
+    Roll {
+        /// At most so many at once.
+        out: u32,
+        /// Each stays out for so long once its clients have gone, in microseconds.
+        hold: u64,
+    },
     /// Take no new clients and let those there are go.
     Evacuate,
     /// Back to work.
@@ -42,10 +49,25 @@
     let Start::Request { method, target } = &head.start else {
         return Err(Reject { status: 400, reason: "a request is expected".into() });
     };
-    let (call, wanted) = match target.split('?').next().unwrap_or_default() {
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    let number = |key: &str, absent: u64, most: u64| {
+        let pair = query.split('&').filter_map(|pair| pair.split_once('=')).find(|pair| pair.0 == key);
+        match pair.map(|pair| pair.1.parse()) {
+            None => Ok(absent),
+            Some(Ok(value)) if value <= most => Ok(value),
+            Some(_) => {
+                Err(Reject { status: 400, reason: format!("{key}: expected a whole number up to {most}") })
+            }
+        }
+    };
+    let (call, wanted) = match path {
         "/api/ready" => (Call::Ready, "GET"),
         "/api/telemetry" => (Call::Telemetry, "GET"),
         "/api/fleet" => (Call::Fleet, "GET"),
+        "/api/fleet/roll" => {
+            let hold = number("hold_ms", 0, 86_400_000)? * 1000;
+            (Call::Roll { out: number("out", 1, u64::from(u32::MAX))? as u32, hold }, "POST")
+        }
         "/api/evacuate" => (Call::Evacuate, "POST"),
         "/api/rejoin" => (Call::Rejoin, "POST"),
         other => return Err(Reject { status: 404, reason: format!("no call {other}") }),
--- a/src/transport/admin.rs
+++ b/src/transport/admin.rs
@@ -94,28 +94,38 @@
                 Some(fleet) => admin::json(&fleet.status().to_string()),
                 None => request::own_answer(404, "this node is in no fleet", None, true),
             },
+            Call::Roll { out, hold } => match &self.fleet {
+                Some(fleet) => yes(&fleet.order_roll(out, hold)),
+                None => request::own_answer(404, "this node is in no fleet", None, true),
+            },
             Call::Evacuate => {
-                tracing::info!("evacuating at an operator's call");
-                self.move_on(Phase::Serving, Phase::Evacuating);
-                let phase = self.phase.clone();
-                spawn_local(async move {
-                    tokio::time::sleep(LEAVING).await;
-                    step(&phase, Phase::Evacuating, Phase::Evacuated);
-                });
+                evacuate(&self.phase);
                 yes("evacuating")
             }
             Call::Rejoin => {
-                tracing::info!("back to work at an operator's call");
-                self.move_on(Phase::Evacuating, Phase::Serving);
-                self.move_on(Phase::Evacuated, Phase::Serving);
+                rejoin(&self.phase);
                 yes("serving")
             }
         }
     }
+}
 
-    fn move_on(&self, from: Phase, to: Phase) {
-        step(&self.phase, from, to);
-    }
+/// Takes no new clients and lets those there are go.
+pub(super) fn evacuate(phase: &Rc<watch::Sender<Phase>>) {
+    tracing::info!("evacuating at an operator's call");
+    step(phase, Phase::Serving, Phase::Evacuating);
+    let phase = phase.clone();
+    spawn_local(async move {
+        tokio::time::sleep(LEAVING).await;
+        step(&phase, Phase::Evacuating, Phase::Evacuated);
+    });
+}
+
+/// Back to work.
+pub(super) fn rejoin(phase: &watch::Sender<Phase>) {
+    tracing::info!("back to work at an operator's call");
+    step(phase, Phase::Evacuating, Phase::Serving);
+    step(phase, Phase::Evacuated, Phase::Serving);
 }
 
 /// An order to stop must not be undone: a phase changes only from the one it is meant to change.
--- a/src/transport/fleet/mod.rs
+++ b/src/transport/fleet/mod.rs
@@ -4,10 +4,11 @@
 mod clock;
 mod disk;
 mod report;
+mod roll;
 mod status;
 
 use crate::routing::Micros;
-use crate::transport::messages::Message;
+use crate::transport::messages::{Message, Phase};
 use clock::SleepClock;
 use disk::{Disk, Told};
 use poppykeel_fleet::envelope::{self, Body, Dropped, Envelope};
@@ -20,7 +21,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::spawn_local;
 
 /// Datagrams taken in one turn.
@@ -76,6 +77,8 @@
     connections: Cell<usize>,
     tell: mpsc::Sender<Message>,
     reports: report::Counts,
+    rolls: roll::Rolls,
+    phase: Rc<watch::Sender<Phase>>,
 }
 
 impl Fleet {
@@ -83,7 +86,11 @@
     ///
     /// # Errors
     /// Names the key at fault.
-    pub async fn start(place: Place, tell: mpsc::Sender<Message>) -> Result<Rc<Fleet>, String> {
+    pub async fn start(
+        place: Place,
+        tell: mpsc::Sender<Message>,
+        phase: Rc<watch::Sender<Phase>>,
+    ) -> Result<Rc<Fleet>, String> {
         let named = |e: std::io::Error| format!("fleet.listen: {}: {e}", place.listen);
         let socket = UdpSocket::bind(place.listen).await.map_err(named)?;
         let listener = TcpListener::bind(place.listen).await.map_err(named)?;
@@ -96,12 +103,25 @@
         };
         let node = RefCell::new(Node::new(place.node.clone(), rand::random(), kept, clock.now()));
         let (dropped, connections, wake) = Default::default();
-        let reports = report::Counts::default();
-        let fleet =
-            Rc::new(Fleet { place, node, clock, socket, disk, wake, dropped, connections, tell, reports });
+        let (reports, rolls) = (report::Counts::default(), roll::Rolls::default());
+        let fleet = Rc::new(Fleet {
+            place,
+            node,
+            clock,
+            socket,
+            disk,
+            wake,
+            dropped,
+            connections,
+            tell,
+            reports,
+            rolls,
+            phase,
+        });
         tracing::info!(fleet = %fleet.place.node.fleet, listen = %fleet.place.listen, keeper, "in the fleet");
         spawn_local(fleet.clone().listen(listener));
         spawn_local(fleet.clone().run(told));
+        spawn_local(fleet.clone().roll());
         if let Some(report) = fleet.place.report.clone() {
             spawn_local(fleet.clone().report(report));
         }
@@ -177,6 +197,7 @@
         match envelope.body {
             Body::AskFigures(number) => self.tell_figures(envelope.from.0, number),
             Body::Figures(number, figures) => self.reports.heard(&envelope.from.0, number, figures),
+            Body::Roll(message) => self.rolling(envelope.from.0, message),
             _ => {
                 let out = self.node.borrow_mut().receive(envelope, self.clock.now());
                 self.carry_out(out);
--- a/src/transport/fleet/status.rs
+++ b/src/transport/fleet/status.rs
@@ -52,6 +52,7 @@
             "messages": {"sent": counts.sent, "taken": counts.taken, "garbled": dropped.garbled,
                 "foreign": dropped.foreign, "other_keepers": counts.other_keepers, "unreached": dropped.unreached},
             "grants": counts.granted, "refusals": counts.refused,
+            "roll": self.roll_status(),
             "reports": {"taken": taken, "refused": refused, "unanswered": silent},
         })
     }
