Try ejected servers from one node for the whole fleet; replace a keeper while leases are held

Each node tried an ejected server by itself, so a bad one got as many trials as there are nodes. The holder of the lease tries for all; the others report what they have ejected, hold their own trials back while it is at it, and come back at once when it found the server well. Advice names no server that the own list lacks, and a node that finds a server bad again after advice goes by its own trials for 10 s.

A keeper that takes another's place waits one lease from when it has heard from enough others, not from its start: until those went over to the new list the old one could still grant. The list of keepers changes at SIGHUP under a higher number.

--- a/crates/fleet/src/envelope.rs
+++ b/crates/fleet/src/envelope.rs
@@ -2,6 +2,7 @@
 
 use crate::lease::{ToKeeper, ToNode};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 const MAGIC: [u8; 4] = *b"ppk1";
 /// The longest message. What is longer than a datagram takes goes over a connection.
@@ -24,6 +25,8 @@
     Figures(u64, Figures),
     /// Of taking nodes out one after the other.
     Roll(crate::roll::Message),
+    /// Of trials of ejected servers.
+    Trials(crate::trials::Message),
 }
 
 /// Requests served, refused and failed.
@@ -51,6 +54,8 @@
     pub keepers: u32,
     /// Who speaks, and since which start.
     pub from: (String, u64),
+    /// Where whoever speaks is reached, as it says.
+    pub at: SocketAddr,
     /// To whom.
     pub to: String,
     /// What.
--- a/crates/fleet/src/lease/claim.rs
+++ b/crates/fleet/src/lease/claim.rs
@@ -83,6 +83,16 @@
         }
     }
 
+    /// Another list of keepers holds from now on. What runs is given up: its answers count for the old list.
+    pub fn among(&mut self, keepers: usize, now: Micros) {
+        self.terms.keepers = keepers;
+        match &mut self.state {
+            State::Asking(_) => self.state = State::Free(now),
+            State::Held { round, renew, .. } => (*round, *renew) = (None, now),
+            State::Free(_) => {}
+        }
+    }
+
     /// The task's name.
     pub fn task(&self) -> &str {
         &self.task
--- a/crates/fleet/src/lease/keeper.rs
+++ b/crates/fleet/src/lease/keeper.rs
@@ -76,7 +76,6 @@
     rules: Rules,
     /// Tells this start from earlier ones.
     start: u64,
-    began: Micros,
     blank: bool,
     /// Where all keepers began with no memory: the others then, by place and start.
     founders: BTreeSet<(usize, u64)>,
@@ -110,7 +109,17 @@
             true => Standing::Granting,
             false => Standing::Recalling { heard: BTreeSet::new(), blank: BTreeMap::new() },
         };
-        Keeper { rules, start, began: now, blank, founders, table, standing }
+        Keeper { rules, start, blank, founders, table, standing }
+    }
+
+    /// Another list of keepers holds from now on; this one goes on with what it knows.
+    pub fn among(&mut self, me: usize, keepers: usize) {
+        (self.rules.me, self.rules.keepers) = (me, keepers);
+        // Places have changed: who was heard must be heard again.
+        if let Standing::Recalling { heard, blank } = &mut self.standing {
+            (*heard, *blank) = Default::default();
+        }
+        self.founders.clear();
     }
 
     /// How far it has come.
@@ -140,7 +149,7 @@
                 self.founders = blank.iter().map(|(keeper, start)| (*keeper, *start)).collect();
             }
             if heard.len() >= majority.min(others) || first {
-                whole = self.counts_from_here();
+                whole = self.counts_from_here(now);
             }
         }
         if matches!(self.standing, Standing::Waiting(until) if now >= until) {
@@ -150,8 +159,11 @@
     }
 
     /// Its memory counts; what it granted before its start may still be held.
-    fn counts_from_here(&mut self) -> Option<Record> {
-        self.standing = Standing::Waiting(self.began.saturating_add(self.rules.longest));
+    ///
+    /// The wait runs from here and not from its start: where it takes another keeper's place, that one may have
+    /// granted until those that answered went over to the new list.
+    fn counts_from_here(&mut self, now: Micros) -> Option<Record> {
+        self.standing = Standing::Waiting(now.saturating_add(self.rules.longest));
         let founders = self.founders.iter().copied().collect();
         std::mem::take(&mut self.blank).then_some(Record::Whole(founders))
     }
@@ -211,7 +223,7 @@
                 let learned = epochs.into_iter().filter_map(|(task, epoch)| self.learn(task, epoch));
                 let mut write: Vec<Record> = learned.map(Record::Entry).collect();
                 // Another keeper found all blank, this very start among them, before this one did.
-                let founded = (together && self.blank).then(|| self.counts_from_here()).flatten();
+                let founded = (together && self.blank).then(|| self.counts_from_here(now)).flatten();
                 write.extend(founded.or_else(|| self.advance(now)));
                 Done { write, ..Done::default() }
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod members;
 mod node;
 pub mod roll;
+pub mod trials;
 
 pub use node::{Counts, Node, Out, Settings, Status};
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::envelope::{Body, Envelope};
 use crate::lease::{Claim, Done, Holder, Keeper, Record, Row, Rules, Standing, Terms, ToNode};
-use crate::members::{Member, Members};
+use crate::members::{Member, Members, MOST_MEMBERS};
 use crate::Micros;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
     /// Send this, to this address unless another is known for the name.
-    Send(Envelope, Option<SocketAddr>),
+    Send(Box<Envelope>, Option<SocketAddr>),
     /// Write this down and say so with [`Node::written`] and this number, once it is durable.
     Write(u64, Vec<Record>),
 }
@@ -89,12 +89,25 @@
     ask_at: Micros,
 }
 
+impl Kept {
+    fn new(settings: &Settings, incarnation: u64, disk: &[Record], now: Micros) -> Option<Kept> {
+        let me = settings.keepers.keys().position(|name| *name == settings.me)?;
+        let (keepers, longest) = (settings.keepers.len(), settings.lease);
+        let rules = Rules { keepers, me, longest, trust: settings.trust_disk };
+        let keeper = Keeper::new(rules, incarnation, disk, now);
+        Some(Kept { keeper, writes: (0, 0), waiting: VecDeque::new(), broken: false, ask_at: now })
+    }
+}
+
 /// The part.
 pub struct Node {
     settings: Settings,
     members: Members,
     claims: BTreeMap<String, Claim>,
     kept: Option<Kept>,
+    /// Where nodes that spoke to this one are reached, as they said: a keeper that has just started answers nodes that
+    /// it knows from nowhere else.
+    spoke: BTreeMap<String, SocketAddr>,
     rng: StdRng,
     /// When seeds are asked again.
     announce_at: Micros,
@@ -106,16 +119,57 @@
     /// A part that begins now. `incarnation` is a fresh random number; `disk` is what a keeper's disk holds.
     pub fn new(settings: Settings, incarnation: u64, disk: Option<Vec<Record>>, now: Micros) -> Node {
         let me = Member { name: settings.me.clone(), addr: settings.addr, incarnation, generation: 0 };
-        let place = settings.keepers.keys().position(|name| *name == settings.me);
-        let kept = place.zip(disk).map(|(me, disk)| {
-            let (keepers, longest) = (settings.keepers.len(), settings.lease);
-            let rules = Rules { keepers, me, longest, trust: settings.trust_disk };
-            let keeper = Keeper::new(rules, incarnation, &disk, now);
-            Kept { keeper, writes: (0, 0), waiting: VecDeque::new(), broken: false, ask_at: now }
-        });
+        let kept = disk.and_then(|disk| Kept::new(&settings, incarnation, &disk, now));
         let members = Members::new(me, settings.probe, incarnation);
         let (rng, counts) = (StdRng::seed_from_u64(incarnation), Counts::default());
-        Node { settings, members, claims: BTreeMap::new(), kept, rng, announce_at: now, counts, left: false }
+        Node {
+            settings,
+            members,
+            claims: BTreeMap::new(),
+            kept,
+            spoke: BTreeMap::new(),
+            rng,
+            announce_at: now,
+            counts,
+            left: false,
+        }
+    }
+
+    /// The number of the list of keepers in force.
+    pub fn keepers_number(&self) -> u32 {
+        self.settings.keepers_number
+    }
+
+    /// The list of keepers in force.
+    pub fn keepers(&self) -> BTreeMap<String, SocketAddr> {
+        self.settings.keepers.clone()
+    }
+
+    /// Whether this node is a keeper now.
+    pub fn keeps(&self) -> bool {
+        self.kept.is_some()
+    }
+
+    /// Another list of keepers holds from now on, under a higher number. `disk` is what this node's disk holds if it
+    /// becomes a keeper by it.
+    pub fn set_keepers(
+        &mut self,
+        keepers: BTreeMap<String, SocketAddr>,
+        number: u32,
+        disk: Option<Vec<Record>>,
+        now: Micros,
+    ) {
+        (self.settings.keepers, self.settings.keepers_number) = (keepers, number);
+        let (count, incarnation) = (self.settings.keepers.len(), self.members.me().incarnation);
+        let place = self.settings.keepers.keys().position(|name| *name == self.settings.me);
+        match (place, &mut self.kept) {
+            (Some(place), Some(kept)) => kept.keeper.among(place, count),
+            (Some(_), None) => {
+                self.kept = disk.and_then(|disk| Kept::new(&self.settings, incarnation, &disk, now))
+            }
+            (None, _) => self.kept = None,
+        }
+        self.claims.values_mut().for_each(|claim| claim.among(count, now));
     }
 
     /// This process as a holder.
@@ -155,6 +209,11 @@
         self.claims.get(task)?.may_act(now)
     }
 
+    /// Which other node holds a task, as last heard.
+    pub fn status_of(&self, task: &str) -> Option<String> {
+        self.claims.get(task)?.other().map(|holder| holder.node.clone())
+    }
+
     /// Gives all tasks back and leaves the fleet in order.
     pub fn leave(&mut self, now: Micros) -> Vec<Out> {
         let tasks: Vec<String> = self.claims.keys().cloned().collect();
@@ -216,8 +275,16 @@
         out
     }
 
+    /// Keeps in mind where whoever spoke is reached.
+    pub fn spoke(&mut self, envelope: &Envelope) {
+        if self.spoke.len() < MOST_MEMBERS || self.spoke.contains_key(&envelope.from.0) {
+            self.spoke.insert(envelope.from.0.clone(), envelope.at);
+        }
+    }
+
     /// Takes a message that the envelope said is for this node.
     pub fn receive(&mut self, envelope: Envelope, now: Micros) -> Vec<Out> {
+        self.spoke(&envelope);
         self.counts.taken += 1;
         if envelope.keepers != self.settings.keepers_number && !matches!(envelope.body, Body::Gossip(_)) {
             self.counts.other_keepers += 1;
@@ -250,7 +317,7 @@
                 out
             }
             // What tasks say to each other is their drivers'.
-            Body::AskFigures(_) | Body::Figures(..) | Body::Roll(_) => Vec::new(),
+            Body::AskFigures(_) | Body::Figures(..) | Body::Roll(_) | Body::Trials(_) => Vec::new(),
             Body::Node(answer) => {
                 let keeper = self.settings.keepers.keys().position(|name| *name == envelope.from.0);
                 let task = match &answer {
@@ -272,7 +339,7 @@
         kept.writes.1 = kept.writes.1.max(number);
         let ready = kept.waiting.iter().take_while(|(behind, _)| *behind <= kept.writes.1).count();
         let ready: Vec<Out> =
-            kept.waiting.drain(..ready).map(|(_, envelope)| Out::Send(envelope, None)).collect();
+            kept.waiting.drain(..ready).map(|(_, envelope)| Out::Send(Box::new(envelope), None)).collect();
         self.counts.sent += ready.len() as u64;
         ready
     }
@@ -311,7 +378,7 @@
     fn envelope(&self, to: String, body: Body) -> Envelope {
         let (fleet, keepers) = (self.settings.fleet.clone(), self.settings.keepers_number);
         let me = self.members.me();
-        Envelope { fleet, keepers, from: (me.name.clone(), me.incarnation), to, body }
+        Envelope { fleet, keepers, from: (me.name.clone(), me.incarnation), at: me.addr, to, body }
     }
 
     /// A message of a task's own to a node.
@@ -321,7 +388,7 @@
 
     fn send(&mut self, to: String, at: Option<SocketAddr>, body: Body) -> Out {
         self.counts.sent += 1;
-        Out::Send(self.envelope(to, body), at)
+        Out::Send(Box::new(self.envelope(to, body)), at)
     }
 
     fn behind_writes(&mut self, to: String, body: Body) -> Option<Out> {
@@ -329,7 +396,7 @@
         let kept = self.kept.as_mut()?;
         if kept.writes.1 >= kept.writes.0 {
             self.counts.sent += 1;
-            return Some(Out::Send(envelope, None));
+            return Some(Out::Send(Box::new(envelope), None));
         }
         if kept.waiting.len() < MOST_WAITING {
             kept.waiting.push_back((kept.writes.0, envelope));
@@ -351,10 +418,11 @@
         messages.into_iter().map(send).collect()
     }
 
-    /// Where a node is reached: as the list of keepers or seeds says, else as it says itself.
+    /// Where a node is reached: as the list of keepers or seeds says, else as it says itself: as a member, or with its last message.
     pub fn addr(&self, name: &str) -> Option<SocketAddr> {
         let s = &self.settings;
         let known = s.keepers.get(name).or(s.seeds.get(name)).copied();
-        known.or_else(|| self.members.others().find(|m| m.name == name).map(|m| m.addr))
+        let member = || self.members.others().find(|m| m.name == name).map(|m| m.addr);
+        known.or_else(member).or_else(|| self.spoke.get(name).copied())
     }
 }
--- a/crates/fleet/src/roll.rs
+++ b/crates/fleet/src/roll.rs
@@ -49,8 +49,10 @@
 pub enum Message {
     /// This is ordered.
     Order(Order),
-    /// From the one in charge, under its epoch, for the so-manyth time.
-    Ask(u64, u64, Order),
+    /// From the one in charge, under its epoch, for the so-manyth time, about the order of this number and node.
+    Ask(u64, u64, (u64, String)),
+    /// The answer of a node that does not know that order.
+    Want,
     /// The answer: to which epoch and time, how it stands, and whether it has let its clients go.
     Tell(u64, u64, Part, bool),
     /// From the one in charge: leave (true) or return.
@@ -105,13 +107,25 @@
     }
 
     /// Answers the one in charge; nothing that it sent before this question is carried out any more.
-    pub fn asked(&mut self, epoch: u64, time: u64, order: Order, idle: bool, now: Micros) -> Option<Message> {
+    pub fn asked(
+        &mut self,
+        epoch: u64,
+        time: u64,
+        order: &(u64, String),
+        idle: bool,
+        now: Micros,
+    ) -> Option<Message> {
         if (epoch, time) < self.seen {
             return None;
         }
         (self.seen, self.heard) = ((epoch, time), now);
-        self.learn(order);
-        Some(Message::Tell(epoch, time, self.part(), self.out && idle))
+        match &self.order {
+            Some(known) if known.id() == (order.0, &order.1) => {
+                Some(Message::Tell(epoch, time, self.part(), self.out && idle))
+            }
+            Some(newer) if newer.id() > (order.0, &order.1) => Some(Message::Order(newer.clone())),
+            _ => Some(Message::Want),
+        }
     }
 
     /// Told to leave or to return: whether to do it.
@@ -176,7 +190,7 @@
     /// The next question to every node of the order.
     pub fn ask(&mut self) -> Message {
         self.time += 1;
-        Message::Ask(self.epoch, self.time, self.order.clone())
+        Message::Ask(self.epoch, self.time, (self.order.number, self.order.by.clone()))
     }
 
     /// Takes an answer.
--- a/crates/fleet/tests/keepers.rs
+++ b/crates/fleet/tests/keepers.rs
@@ -31,6 +31,14 @@
         let keepers = (0..count).map(keeper).collect();
         Table { keepers, disks: vec![Vec::new(); count], trust }
     }
+    /// Keepers that have come to grant at the time `LONGEST`.
+    fn in_service(count: usize, trust: bool) -> Table {
+        let mut table = Table::first_start(count, trust);
+        table.settle(0);
+        table.settle(LONGEST);
+        assert_eq!(table.granting(), count);
+        table
+    }
     fn tell(&mut self, to: usize, now: u64, message: ToKeeper) -> Option<ToNode> {
         let done = self.keepers[to].handle(now, message);
         self.disks[to].extend(done.write);
@@ -77,7 +85,8 @@
                 table.recall(from, to, 10);
             }
         }
-        table.settle(LONGEST + 10);
+        table.settle(20);
+        table.settle(LONGEST + 20);
         prop_assert_eq!(table.granting(), 5);
     }
 
@@ -86,8 +95,7 @@
     fn a_lost_disk_never_lets_an_epoch_fall(
         lost in 0usize..3, others in proptest::collection::vec((0usize..3, 0usize..3), 0..12), epoch in 1u64..9,
     ) {
-        let mut table = Table::first_start(3, false);
-        table.settle(LONGEST);
+        let mut table = Table::in_service(3, false);
         let (a, b) = (who("a", 1), who("b", 2));
         let voters = [lost, (lost + 1) % 3];
         prop_assert!(voters.iter().all(|k| granted(table.tell(*k, LONGEST, ask(&a, epoch, 1)))));
@@ -102,17 +110,17 @@
         for k in [lost, (lost + 2) % 3] {
             prop_assert!(!granted(table.tell(k, now + 1, ask(&b, epoch, 1))) || k != lost);
         }
-        table.settle(now + LONGEST);
-        prop_assert!(!granted(table.tell(lost, now + LONGEST, ask(&b, epoch, 2))));
-        prop_assert!(granted(table.tell(lost, now + LONGEST, ask(&b, epoch + 1, 3))));
+        table.settle(now + 1);
+        table.settle(now + 1 + LONGEST);
+        prop_assert!(!granted(table.tell(lost, now + 1 + LONGEST, ask(&b, epoch, 2))));
+        prop_assert!(granted(table.tell(lost, now + 1 + LONGEST, ask(&b, epoch + 1, 3))));
     }
 }
 
 #[test]
 fn all_keepers_back_at_once_wait_out_what_they_had_granted() {
     for trust in [false, true] {
-        let mut table = Table::first_start(3, trust);
-        table.settle(LONGEST);
+        let mut table = Table::in_service(3, trust);
         let (a, b) = (who("a", 1), who("b", 2));
         (0..3).for_each(|k| assert!(granted(table.tell(k, LONGEST, ask(&a, 1, 1)))));
         let back = 2 * LONGEST - 1;
@@ -127,8 +135,7 @@
 
 #[test]
 fn a_blank_keeper_alone_with_blank_ones_of_another_start_waits_for_memory() {
-    let mut table = Table::first_start(3, false);
-    table.settle(LONGEST);
+    let mut table = Table::in_service(3, false);
     // Two of three lose their disks: what the fleet knew may be gone, and nobody acts as if it were not.
     for k in [0, 1] {
         table.disks[k].clear();
@@ -140,8 +147,7 @@
 
 #[test]
 fn the_same_name_twice_is_two_holders() {
-    let mut table = Table::first_start(1, false);
-    table.settle(LONGEST);
+    let mut table = Table::in_service(1, false);
     let (one, two) = (who("n", 1), who("n", 2));
     assert!(granted(table.tell(0, LONGEST, ask(&one, 1, 1))));
     assert!(!granted(table.tell(0, LONGEST, ask(&two, 1, 1))));
@@ -151,8 +157,7 @@
 
 #[test]
 fn a_release_that_comes_late_frees_nothing_of_the_next_holder() {
-    let mut table = Table::first_start(1, false);
-    table.settle(LONGEST);
+    let mut table = Table::in_service(1, false);
     let (a, b) = (who("a", 1), who("b", 2));
     let back = |who: &Holder, epoch| ToKeeper::Release { task: "t".into(), who: who.clone(), epoch };
     assert!(granted(table.tell(0, LONGEST, ask(&a, 1, 1))));
@@ -165,8 +170,7 @@
 
 #[test]
 fn lengths_that_are_none_or_too_long_are_refused() {
-    let mut table = Table::first_start(1, false);
-    table.settle(LONGEST);
+    let mut table = Table::in_service(1, false);
     for length in [0, LONGEST + 1] {
         let ask = ToKeeper::Ask { task: "t".into(), who: who("a", 1), epoch: 1, round: 1, length };
         assert!(matches!(table.tell(0, LONGEST, ask), Some(ToNode::Refused { .. })));
@@ -186,8 +190,7 @@
 #[test]
 #[allow(clippy::type_complexity)] // by the time of arrival: claim, keeper, and the question or the answer
 fn three_hundred_contenders_at_one_instant_end_with_one_holder() {
-    let mut table = Table::first_start(3, false);
-    table.settle(LONGEST);
+    let mut table = Table::in_service(3, false);
     let terms = Terms { keepers: 3, length: LONGEST, drift: 1000, patience: 100_000, pause: 25_000 };
     let mut claims: Vec<Claim> =
         (0..300).map(|n| Claim::new("t", who(&format!("n{n}"), n), terms, LONGEST)).collect();
--- a/crates/fleet/tests/roll.rs
+++ b/crates/fleet/tests/roll.rs
@@ -11,6 +11,16 @@
     (0..NODES).map(|n| format!("n{n}")).collect()
 }
 
+fn id() -> (u64, String) {
+    (1, "n0".into())
+}
+
+fn knowing() -> Own {
+    let mut own = Own::default();
+    own.learn(order(1));
+    own
+}
+
 fn order(out: u32) -> Order {
     Order { number: 1, by: "n0".into(), nodes: names(), out, hold: 20, back: BACK }
 }
@@ -44,13 +54,14 @@
 }
 
 impl World {
-    fn new() -> World {
-        let own = vec![Own::default(); NODES];
+    fn new(out: u32) -> World {
+        let mut own = vec![Own::default(); NODES];
+        own.iter_mut().for_each(|own| own.learn(order(out)));
         World { own, later: Vec::new(), most: 0, least_keepers: 3, been: vec![false; NODES] }
     }
     fn deliver(&mut self, to: usize, message: &Message, now: u64) -> Option<Message> {
         let answer = match message {
-            Message::Ask(epoch, time, order) => self.own[to].asked(*epoch, *time, order.clone(), true, now),
+            Message::Ask(epoch, time, order) => self.own[to].asked(*epoch, *time, order, true, now),
             Message::Act(epoch, time, leave) => {
                 self.own[to].act(*epoch, *time, *leave);
                 None
@@ -100,7 +111,7 @@
         wires in proptest::collection::vec(wire(), 1..400),
         lost in proptest::collection::vec(1usize..60, 0..4),
     ) {
-        let mut world = World::new();
+        let mut world = World::new(out);
         let (mut now, mut epoch, mut turns) = (0, 1, 0);
         let mut wires = wires.into_iter().cycle();
         let keepers = names()[..3].to_vec();
@@ -138,20 +149,32 @@
 
 #[test]
 fn an_act_from_before_the_last_question_is_not_carried_out() {
-    let mut own = Own::default();
-    own.asked(1, 1, order(1), true, 0);
-    own.asked(1, 2, order(1), true, 1);
+    let mut own = knowing();
+    own.asked(1, 1, &id(), true, 0);
+    own.asked(1, 2, &id(), true, 1);
     assert!(!own.act(1, 1, true));
     assert!(own.act(1, 2, true) && own.part() == Part::Out);
     // One in charge of an earlier epoch woke up.
-    own.asked(2, 1, order(1), true, 3);
-    assert!(own.asked(1, 3, order(1), true, 4).is_none() && !own.act(1, 3, false));
+    own.asked(2, 1, &id(), true, 3);
+    assert!(own.asked(1, 3, &id(), true, 4).is_none() && !own.act(1, 3, false));
 }
 
 #[test]
 fn whoever_is_out_and_forgotten_comes_back() {
-    let mut own = Own::default();
-    own.asked(1, 1, order(1), true, 0);
+    let mut own = knowing();
+    own.asked(1, 1, &id(), true, 0);
     assert!(own.act(1, 1, true) && !own.turn(BACK - 1));
     assert!(own.turn(BACK) && own.part() == Part::Done);
 }
+
+#[test]
+fn a_node_that_does_not_know_the_order_asks_for_it_and_tells_of_a_newer_one() {
+    let mut own = Own::default();
+    assert_eq!(own.asked(1, 1, &id(), true, 0), Some(Message::Want));
+    own.learn(order(1));
+    assert_eq!(own.asked(1, 2, &id(), true, 0), Some(Message::Tell(1, 2, Part::Waiting, false)));
+    let newer = Order { number: 2, ..order(3) };
+    own.learn(newer.clone());
+    own.learn(order(1));
+    assert_eq!(own.asked(1, 3, &id(), true, 0), Some(Message::Order(newer)));
+}
--- a/crates/lab/src/emulator/policies.rs
+++ b/crates/lab/src/emulator/policies.rs
@@ -171,7 +171,7 @@
                 self.ended(now, request, attempt, outcome, out);
             }
             Input::List { list, full } => self.list(list, full),
-            Input::Probed { .. } | Input::ListFailed => {}
+            Input::Probed { .. } | Input::Advised { .. } | Input::ListFailed => {}
         }
     }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -63,9 +63,7 @@
     /// Takes one event and appends the actions it calls for. Events about something unknown are passed over;
     /// so are all but the first event of a request id. A time before the last one counts as the last one.
     pub fn handle(&mut self, now: Seconds, event: Event, out: &mut Vec<Action>) {
-        if now.is_finite() && now > self.now {
-            self.now = now;
-        }
+        self.now = if now.is_finite() { self.now.max(now) } else { self.now };
         if !self.started {
             self.started = true;
             out.push(Action::Wake { after: TICK });
@@ -96,6 +94,11 @@
                     self.unpark();
                 }
             }
+            Event::Advised { replica, well: true } => self.alive(replica, true),
+            Event::Advised { replica, .. } => {
+                let until = self.now + PAUSE;
+                self.replicas.entry(replica).and_modify(|r| r.paused_until = r.paused_until.max(until));
+            }
             Event::Woke => self.tick(out),
         }
         self.release(out);
@@ -375,9 +378,8 @@
 
     fn alive(&mut self, replica: ReplicaId, works: bool) {
         let Some(r) = self.replicas.get_mut(&replica) else { return };
-        r.life = self.now;
         // A probe shows that the process runs; whether requests fail there only requests can show.
-        r.failures = if works { 0 } else { r.failures };
+        (r.life, r.failures) = (self.now, if works { 0 } else { r.failures });
         if let Some(since) = r.silent_since.take() {
             // Rule 4, in spirit: a replica back from silence may have restarted, whatever the list says; one
             // that was only slow has not, and is no less warm for it.
--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -60,6 +60,13 @@
         self.replicas.values().filter(|r| !r.gone && (!r.up || Self::ejected(r))).count()
     }
 
+    /// Each listed replica: whether it gets trials only, and when its last answer came, if nothing has failed since.
+    pub fn standings(&self) -> Vec<(ReplicaId, bool, Option<Seconds>)> {
+        let well = |r: &Replica| Some(r.life).filter(|life| r.failures == 0 && r.broken == 0 && *life > 0.0);
+        let listed = self.replicas.iter().filter(|(_, r)| !r.gone);
+        listed.map(|(id, r)| (*id, Self::ejected(r), well(r))).collect()
+    }
+
     /// Takes new settings, whose classes and tenants keep their places: requests held move to the tier of the worth
     /// they came with, all others keep their class.
     pub fn resettle(&mut self, settings: Settings) -> Result<(), SettingsError> {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -273,6 +273,11 @@
         outcome: Outcome,
         report: Option<Report>,
     },
+    /// Another router of the fleet tries ejected replicas for all; it is still at it, or found this one well.
+    Advised {
+        replica: ReplicaId,
+        well: bool,
+    },
     /// The timer of [`Action::Wake`].
     Woke,
 }
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -132,7 +132,7 @@
     tracing::info!(node = %config.name, listen = %bound, "serving on {bound}");
     let place = operator.fleet.as_ref().map(|fleet| fleet.place(&config.name)).transpose()?;
     let fleet = match place {
-        Some(place) => Some(Fleet::start(place, tell.clone(), phase.clone()).await?),
+        Some(place) => Some(Fleet::start(place, tell.clone(), phase.clone(), clock).await?),
         None => None,
     };
     let admin = Rc::new(Admin {
@@ -152,7 +152,14 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => match reread().and_then(|read| follow(&config, &boot, read)) {
+            _ = hangup.recv() => match reread().and_then(|read| follow(&config, &boot, read)).and_then(|read| {
+                match (&fleet, &read.1.fleet) {
+                    (Some(fleet), Some(settings)) => fleet.resettle(&settings.place(&read.0.name)?)?,
+                    (None, None) => {}
+                    _ => return Err("operator: fleet: expected to come or go with a restart alone".into()),
+                }
+                Ok(read)
+            }) {
                 Ok((read, operator, next)) => {
                     // The core first: a request of a new class must find it known there.
                     let (done, settled) = oneshot::channel();
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -54,6 +54,13 @@
     },
     /// The watch has broken.
     ListFailed,
+    /// Another node of the fleet tries ejected replicas for all; it is still at it, or found this one well.
+    Advised {
+        /// Which.
+        replica: ReplicaId,
+        /// See there.
+        well: bool,
+    },
 }
 
 /// What the drivers are to do.
@@ -202,6 +209,12 @@
     pub fn avoided(&self) -> usize {
         self.brain.avoided()
     }
+    /// Each listed replica: whether it gets trials only, and when its last answer came, if nothing has failed since.
+    pub fn standings(&self) -> Vec<(ReplicaId, bool, Option<Micros>)> {
+        let micros = |s: f64| (s * 1e6) as Micros;
+        let all = self.brain.standings().into_iter();
+        all.map(|(id, ejected, well)| (id, ejected, well.map(micros))).collect()
+    }
     /// Requests that the module holds, by tenant.
     pub fn waiting(&self) -> Vec<usize> {
         self.brain.gauges().2
@@ -278,6 +291,7 @@
             }
             Input::List { list, full: true } => self.told.push_back(Event::ListFull(list)),
             Input::List { list, full: false } => self.told.push_back(Event::ListChanged(list)),
+            Input::Advised { replica, well } => self.told.push_back(Event::Advised { replica, well }),
             Input::ListFailed => self.told.push_back(Event::ListFailed),
         }
         self.decide(now, out);
--- a/src/transport/fleet/disk.rs
+++ b/src/transport/fleet/disk.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 /// Writes that wait for the disk. Beyond this the keeper counts as broken.
-const WAITING: usize = 4096;
+pub const WAITING: usize = 4096;
 /// The log is compacted when it is this long.
 const COMPACT: u64 = 1 << 20;
 
@@ -40,12 +40,12 @@
 }
 
 impl Disk {
-    /// Opens a keeper's folder: the way to it, what it holds, and what it will tell. A damaged log is put aside,
+    /// Opens a keeper's folder: the way to it, and what it holds; what comes of writes goes to `tell`. A damaged log is put aside,
     /// and the keeper begins with no memory: it then asks the others.
     ///
     /// # Errors
     /// Names the folder.
-    pub fn open(folder: &Path) -> Result<(Disk, Vec<Record>, mpsc::Receiver<Told>), String> {
+    pub fn open(folder: &Path, tell: mpsc::Sender<Told>) -> Result<(Disk, Vec<Record>), String> {
         let named = |e: &dyn std::fmt::Display| format!("fleet.folder: {}: {e}", folder.display());
         let files = || Files::open(folder).map_err(|e| named(&e));
         let (log, kept) = match Log::open(files()?) {
@@ -65,14 +65,13 @@
         }
         let records = newest.all().collect();
         let (to, from) = sync_channel(WAITING);
-        let (tell, told) = mpsc::channel(WAITING);
         let run = move || {
             if let Err(why) = write(log, newest, &from, &tell) {
                 let _ = tell.blocking_send(Err(why));
             }
         };
         std::thread::Builder::new().name("keeper-disk".into()).spawn(run).map_err(|e| named(&e))?;
-        Ok((Disk { to }, records, told))
+        Ok((Disk { to }, records))
     }
 
     /// Writes this; false where the disk can take no more.
--- a/src/transport/fleet/mod.rs
+++ b/src/transport/fleet/mod.rs
@@ -6,8 +6,10 @@
 mod report;
 mod roll;
 mod status;
+mod trials;
 
 use crate::routing::Micros;
+use crate::transport::clock::Clock;
 use crate::transport::messages::{Message, Phase};
 use clock::SleepClock;
 use disk::{Disk, Told};
@@ -71,14 +73,18 @@
     node: RefCell<Node>,
     clock: SleepClock,
     socket: UdpSocket,
-    disk: Option<Disk>,
+    disk: RefCell<Option<Disk>>,
+    disk_tells: mpsc::Sender<Told>,
     wake: Notify,
     dropped: Cell<DroppedCounts>,
     connections: Cell<usize>,
     tell: mpsc::Sender<Message>,
     reports: report::Counts,
     rolls: roll::Rolls,
+    trials: trials::Trials,
     phase: Rc<watch::Sender<Phase>>,
+    /// The clock of the routing core.
+    core: Clock,
 }
 
 impl Fleet {
@@ -90,6 +96,7 @@
         place: Place,
         tell: mpsc::Sender<Message>,
         phase: Rc<watch::Sender<Phase>>,
+        core: Clock,
     ) -> Result<Rc<Fleet>, String> {
         let named = |e: std::io::Error| format!("fleet.listen: {}: {e}", place.listen);
         let socket = UdpSocket::bind(place.listen).await.map_err(named)?;
@@ -97,60 +104,92 @@
         let clock = SleepClock::start();
         let keeper = place.node.keepers.contains_key(&place.node.me);
         let folder = place.folder.as_ref().filter(|_| keeper);
-        let (disk, kept, told) = match folder.map(|f| Disk::open(f)).transpose()? {
-            Some((disk, kept, told)) => (Some(disk), Some(kept), Some(told)),
-            None => (None, None, None),
+        let (disk_tells, told) = mpsc::channel(disk::WAITING);
+        let (disk, kept) = match folder.map(|f| Disk::open(f, disk_tells.clone())).transpose()? {
+            Some((disk, kept)) => (Some(disk), Some(kept)),
+            None => (None, None),
         };
+        let disk = RefCell::new(disk);
         let node = RefCell::new(Node::new(place.node.clone(), rand::random(), kept, clock.now()));
         let (dropped, connections, wake) = Default::default();
-        let (reports, rolls) = (report::Counts::default(), roll::Rolls::default());
+        let (reports, rolls, trials) = Default::default();
         let fleet = Rc::new(Fleet {
             place,
             node,
             clock,
             socket,
             disk,
+            disk_tells,
             wake,
             dropped,
             connections,
             tell,
             reports,
             rolls,
+            trials,
             phase,
+            core,
         });
         tracing::info!(fleet = %fleet.place.node.fleet, listen = %fleet.place.listen, keeper, "in the fleet");
         spawn_local(fleet.clone().listen(listener));
         spawn_local(fleet.clone().run(told));
         spawn_local(fleet.clone().roll());
+        spawn_local(fleet.clone().trials());
         if let Some(report) = fleet.place.report.clone() {
             spawn_local(fleet.clone().report(report));
         }
         Ok(fleet)
     }
 
+    /// Takes another list of keepers, if its number is higher. All else of `[fleet]` holds from the start to the end.
+    ///
+    /// # Errors
+    /// Names the key at fault; nothing has changed then.
+    pub fn resettle(&self, place: &Place) -> Result<(), String> {
+        let (node, number) = (&place.node, self.node.borrow().keepers_number());
+        if node.keepers_number <= number {
+            return match node.keepers_number == number && node.keepers != self.node.borrow().keepers() {
+                true => Err(format!(
+                    "fleet.keepers_number: expected more than {number} for another list of keepers"
+                )),
+                false => Ok(()),
+            };
+        }
+        let new = node.keepers.contains_key(&node.me) && !self.node.borrow().keeps();
+        let open = |folder| Disk::open(folder, self.disk_tells.clone());
+        let opened = place.folder.as_deref().filter(|_| new).map(open).transpose()?;
+        let (disk, kept) = opened.map_or((None, None), |(disk, kept)| (Some(disk), Some(kept)));
+        if disk.is_some() {
+            self.disk.replace(disk);
+        }
+        let now = self.clock.now();
+        self.node.borrow_mut().set_keepers(node.keepers.clone(), node.keepers_number, kept, now);
+        tracing::info!(number = node.keepers_number, keepers = ?node.keepers.keys(), "another list of keepers");
+        self.wake.notify_one();
+        Ok(())
+    }
+
     /// Gives all tasks back and leaves in order.
     pub fn leave(self: &Rc<Self>) {
         let out = self.node.borrow_mut().leave(self.clock.now());
         self.carry_out(out);
     }
 
+    /// The clock that the routing core goes by.
+    fn uptime(&self) -> Micros {
+        self.core.now()
+    }
+
     /// The epoch under which this process may act at this moment.
     fn may_act(&self, task: &str) -> Option<u64> {
         self.node.borrow().may_act(task, self.clock.now())
     }
 
-    async fn run(self: Rc<Self>, told: Option<mpsc::Receiver<Told>>) {
-        let mut told = told;
+    async fn run(self: Rc<Self>, mut told: mpsc::Receiver<Told>) {
         let mut bytes = vec![0; envelope::MOST + 1024];
         loop {
             let due = self.node.borrow().due();
             let wait = due.map_or(IDLE, |at| Duration::from_micros(at.saturating_sub(self.clock.now())));
-            let disk = async {
-                match &mut told {
-                    Some(told) => told.recv().await,
-                    None => std::future::pending().await,
-                }
-            };
             tokio::select! {
                 came = self.socket.recv_from(&mut bytes) => if let Ok((length, _)) = came {
                     self.receive(&bytes[..length]);
@@ -159,13 +198,13 @@
                         self.receive(&bytes[..length]);
                     }
                 },
-                told = disk => match told {
+                told = told.recv() => match told {
                     Some(Ok(number)) => {
                         let out = self.node.borrow_mut().written(number);
                         self.carry_out(out);
                     }
                     Some(Err(why)) => self.broke(&why),
-                    None => self.broke("the disk's thread has ended"),
+                    None => return,
                 },
                 () = self.wake.notified() => {}
                 () = tokio::time::sleep(wait.min(IDLE)) => {}
@@ -194,10 +233,12 @@
     }
 
     fn take(self: &Rc<Self>, envelope: Envelope) {
+        self.node.borrow_mut().spoke(&envelope);
         match envelope.body {
             Body::AskFigures(number) => self.tell_figures(envelope.from.0, number),
             Body::Figures(number, figures) => self.reports.heard(&envelope.from.0, number, figures),
             Body::Roll(message) => self.rolling(envelope.from.0, message),
+            Body::Trials(message) => self.trying(message),
             _ => {
                 let out = self.node.borrow_mut().receive(envelope, self.clock.now());
                 self.carry_out(out);
@@ -215,11 +256,11 @@
         for out in out {
             match out {
                 Out::Write(number, records) => {
-                    if !self.disk.as_ref().is_some_and(|disk| disk.write(number, records)) {
+                    if !self.disk.borrow().as_ref().is_some_and(|disk| disk.write(number, records)) {
                         self.broke("more writes wait than there is room for");
                     }
                 }
-                Out::Send(envelope, hint) => self.send(envelope, hint),
+                Out::Send(envelope, hint) => self.send(*envelope, hint),
             }
         }
     }
--- a/src/transport/fleet/roll.rs
+++ b/src/transport/fleet/roll.rs
@@ -62,6 +62,10 @@
         let now = self.clock.now();
         match message {
             roll::Message::Order(order) => self.rolls.own.borrow_mut().learn(order),
+            roll::Message::Want => {
+                let order = self.rolls.own.borrow().order().cloned();
+                order.into_iter().for_each(|order| self.tell_one(from.clone(), roll::Message::Order(order)));
+            }
             roll::Message::Over(number, by) => self.rolls.own.borrow_mut().over(number, &by),
             roll::Message::Tell(epoch, time, part, idle) => {
                 if let Some(charge) = &mut *self.rolls.charge.borrow_mut() {
@@ -83,7 +87,7 @@
                     let (ask, told) = oneshot::channel();
                     let asked = own.tell.send(Message::Figures(ask)).await.is_ok();
                     let idle = told.await.is_ok_and(|figures| asked && figures.concurrent == 0);
-                    let answer = own.rolls.own.borrow_mut().asked(epoch, time, order, idle, own.clock.now());
+                    let answer = own.rolls.own.borrow_mut().asked(epoch, time, &order, idle, own.clock.now());
                     if let Some(answer) = answer {
                         own.tell_one(from, answer);
                     }
@@ -124,7 +128,7 @@
             let same = charge.as_ref().is_some_and(|c| c.of().0 == epoch && c.of().1.id() == order.id());
             if !same {
                 tracing::info!(epoch, number = order.number, "in charge of the roll");
-                let keepers = self.place.node.keepers.keys().cloned().collect();
+                let keepers = self.node.borrow().keepers().into_keys().collect();
                 *charge = Some(Charge::new(epoch, order.clone(), keepers, self.place.node.drift, now));
             }
             charge.as_mut().map(Charge::ask)
--- a/src/transport/fleet/status.rs
+++ b/src/transport/fleet/status.rs
@@ -17,9 +17,10 @@
         let now = self.clock.now();
         let (status, counts, dropped) =
             (self.node.borrow().status(now), self.node.borrow().counts(), self.dropped.get());
+        let keepers = self.node.borrow().keepers();
         let member = |m: &poppykeel_fleet::members::Member| {
             json!({"name": m.name, "addr": m.addr.to_string(), "incarnation": format!("{:016x}", m.incarnation),
-                "keeper": self.place.node.keepers.contains_key(&m.name)})
+                "keeper": keepers.contains_key(&m.name)})
         };
         let mut members = vec![member(&status.me)];
         members.extend(status.others.iter().map(member));
@@ -46,13 +47,14 @@
         let (taken, refused, silent) = self.reports.done.get();
         json!({
             "fleet": self.place.node.fleet, "node": status.me.name, "members": members,
-            "keepers": self.place.node.keepers.keys().collect::<Vec<_>>(),
-            "keepers_number": self.place.node.keepers_number, "keeper": keeper,
+            "keepers": keepers.keys().collect::<Vec<_>>(),
+            "keepers_number": self.node.borrow().keepers_number(), "keeper": keeper,
             "claims": claims.collect::<Vec<_>>(),
             "messages": {"sent": counts.sent, "taken": counts.taken, "garbled": dropped.garbled,
                 "foreign": dropped.foreign, "other_keepers": counts.other_keepers, "unreached": dropped.unreached},
             "grants": counts.granted, "refusals": counts.refused,
             "roll": self.roll_status(),
+            "advice": {"held": self.trials.advised.get().0, "back": self.trials.advised.get().1},
             "reports": {"taken": taken, "refused": refused, "unanswered": silent},
         })
     }
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -2,7 +2,7 @@
 
 use super::clock::Clock;
 use super::discovery::Watch;
-use super::messages::{Answer, Message, Payload, Piece, LIST};
+use super::messages::{Answer, Message, Payload, Piece, Replica, LIST};
 use super::upstream::{Job, Upstream};
 use crate::interface::{ReplicaId, RequestId};
 use crate::protocol::admin::Figures;
@@ -112,6 +112,25 @@
                 let _ = figures.send(self.figures());
                 return;
             }
+            Message::Replicas(told) => {
+                let all = self.router.standings().into_iter().filter_map(|(id, ejected, well_since)| {
+                    Some((self.directory.name(id)?.to_string(), Replica { ejected, well_since }))
+                });
+                let _ = told.send(all.collect());
+                return;
+            }
+            Message::Advice(advice) => {
+                // A name that is not on this node's list adds nothing.
+                for (replica, ..) in self.router.standings() {
+                    let verdict = advice.iter().find(|(name, _)| self.directory.name(replica) == Some(name));
+                    if let Some((_, well)) = verdict {
+                        let input = Input::Advised { replica, well: *well };
+                        log_input(&input);
+                        self.router.handle(now, input, &mut self.commands);
+                    }
+                }
+                return self.carry_out(now);
+            }
             Message::Settings(boot, done) => {
                 match self.router.resettle(boot.settings.clone()) {
                     Ok(()) => self.upstream.boot = boot,
@@ -281,6 +300,7 @@
             tracing::debug!(replica = %replica.0, ?outcome, ?report, "probed");
         }
         Input::List { list, full } => tracing::debug!(entries = list.len(), full, "list"),
+        Input::Advised { replica, well } => tracing::debug!(replica = %replica.0, well, "advised"),
         Input::ListFailed => tracing::debug!("list failed"),
     }
 }
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -7,6 +7,7 @@
 use crate::wire::Boot;
 use bytes::Bytes;
 use poppykeel_membership::Told;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
 
@@ -37,6 +38,15 @@
     },
 }
 
+/// How a replica stands with this node's module.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Replica {
+    /// It gets trials only.
+    pub ejected: bool,
+    /// Nothing has failed there since its last answer, and that came at this time of the node's clock.
+    pub well_since: Option<Micros>,
+}
+
 /// What drivers tell the hub.
 pub enum Message {
     /// For the core as it is.
@@ -72,6 +82,10 @@
     },
     /// New settings of the account of membership.
     Members(Members),
+    /// How each replica stands, by name.
+    Replicas(oneshot::Sender<BTreeMap<String, Replica>>),
+    /// Another node of the fleet tries ejected replicas for all: whether it found them well.
+    Advice(Vec<(String, bool)>),
     /// An operator asks for the figures.
     Figures(oneshot::Sender<Figures>),
     /// New settings for the core; answered once they hold.
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,147 @@
+//! A node with and without `[fleet]`: what the section costs where it is absent, its errors, and trials by one for all.
+
+#[allow(dead_code)] // the rest is for tests of streams
+mod support;
+
+use poppykeel::program::config::operator::Operator;
+use poppykeel_standin::{Fault, Outcome, Script, Standin};
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::time::{Duration, Instant};
+use support::{ask, read, Node};
+
+/// Inodes of a process's sockets.
+fn sockets(id: u32) -> BTreeSet<String> {
+    let fds = std::fs::read_dir(format!("/proc/{id}/fd")).unwrap();
+    let links = fds.filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok());
+    let named = links.map(|l| l.to_string_lossy().into_owned());
+    named.filter_map(|l| l.strip_prefix("socket:[")?.strip_suffix(']').map(String::from)).collect()
+}
+
+/// Of these sockets, how many carry datagrams, and how many listen for connections.
+fn kinds(id: u32) -> (usize, usize) {
+    let own = sockets(id);
+    let count = |file: &str, state: &str| {
+        let text = std::fs::read_to_string(format!("/proc/{id}/net/{file}")).unwrap();
+        let lines = text.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
+        lines.filter(|l| (state.is_empty() || l[3] == state) && own.contains(l[9])).count()
+    };
+    (count("udp", ""), count("tcp", "0A"))
+}
+
+fn threads(id: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{id}/task")).unwrap().count()
+}
+
+/// A port that is free for datagrams and connections.
+fn port() -> SocketAddr {
+    loop {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let addr = socket.local_addr().unwrap();
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+}
+
+fn fleet(me: SocketAddr, keeper: SocketAddr, folder: &str) -> String {
+    format!(
+        "[fleet]\nname = \"f\"\nlisten = \"{me}\"\nfolder = \"{folder}\"\nlease = \"500ms\"\npatience = \"100ms\"\n\
+         probe = \"100ms\"\nkeepers = {{ n0 = \"{keeper}\" }}\n"
+    )
+}
+
+#[test]
+fn without_the_section_there_is_no_listener_no_thread_and_no_file() {
+    let server = Standin::start(vec![Script::default()]).unwrap();
+    let node = Node::start("no-fleet", server.addrs(), "", "safe");
+    assert_eq!((kinds(node.child.id()), threads(node.child.id())), ((0, 2), 1));
+    let folder = std::env::temp_dir().join(format!("fleet-disk-{}", std::process::id()));
+    let at = port();
+    let with =
+        Node::start("with-fleet", server.addrs(), &fleet(at, at, &folder.display().to_string()), "safe");
+    assert_eq!((kinds(with.child.id()), threads(with.child.id())), ((1, 3), 2));
+    assert!(folder.join("lock").exists());
+    drop(with);
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
+#[test]
+fn wrong_settings_are_errors_with_key_and_line() {
+    let good = fleet(port(), port(), "x");
+    Operator::read(&good).unwrap();
+    let wrong = [
+        (good.replace("name = \"f\"", "name = \"\""), "line 2: fleet.name"),
+        (good.replace("500ms", "5ms"), "line 5: fleet.lease"),
+        (good.replace("patience = \"100ms\"", "patience = \"400ms\""), "line 6: fleet.patience"),
+        (good.replace("{ n0", "{ n1 = \"127.0.0.1:1\", n0"), "line 8: fleet.keepers"),
+        (good.replace("probe =", "prob ="), "line 7"),
+        (format!("{good}drift = 900000\n"), "line 9: fleet.drift"),
+        (format!("{good}[fleet.report]\nto = \"here\"\n"), "line 10: fleet.report.to"),
+        (format!("{good}[fleet.report]\nto = \"127.0.0.1:1\"\nevery = 0\n"), "line 11: fleet.report.every"),
+    ];
+    for (text, place) in wrong {
+        let error = Operator::read(&text).err().unwrap_or_default();
+        assert!(error.starts_with(place), "{place}: {error}\n{text}");
+    }
+    let alone = Operator::read(&good.replace("folder = \"x\"\n", "")).unwrap().fleet.unwrap();
+    assert!(alone.place("n0").unwrap_err().contains("fleet.folder"));
+    assert!(alone.place("n9").is_ok());
+}
+
+/// Requests that a bad server got while several nodes served for a while, and whether all use it again once it is well.
+fn trials(name: &str, with: bool) -> (usize, bool) {
+    let bad = || Script { tokens: 3, ..Script::default() }.with(Fault::Status(500));
+    let good = || Script { tokens: 3, ..Script::default() };
+    let servers = Standin::start(vec![good(), bad()]).unwrap();
+    let at: Vec<SocketAddr> = (0..4).map(|_| port()).collect();
+    let folder = std::env::temp_dir().join(format!("fleet-{name}-{}", std::process::id()));
+    let nodes: Vec<Node> = (0..4)
+        .map(|n| {
+            let operator =
+                if with { fleet(at[n], at[0], &folder.display().to_string()) } else { String::new() };
+            Node::named(&format!("n{n}"), name, servers.addrs(), &operator)
+        })
+        .collect();
+    let play = |span: Duration| {
+        std::thread::scope(|scope| {
+            for node in &nodes {
+                scope.spawn(move || {
+                    let until = Instant::now() + span;
+                    let mut n = 0;
+                    while Instant::now() < until {
+                        // Sessions of their own, so that each server is some request's home.
+                        let prompt = format!("{} {n}", node.addr);
+                        let (id, mut stream) = ask(node, &prompt, 3);
+                        assert_eq!(read(id, &prompt, 3, &mut stream).outcome, Outcome::Whole);
+                        n += 1;
+                        std::thread::sleep(Duration::from_millis(20));
+                    }
+                });
+            }
+        });
+    };
+    let at_bad = || servers.records().iter().filter(|r| r.server == 1).count();
+    play(Duration::from_secs(3));
+    let before = at_bad();
+    play(Duration::from_secs(6));
+    let tried = at_bad() - before;
+    servers.set(1, good());
+    play(Duration::from_secs(3));
+    let back = at_bad();
+    play(Duration::from_secs(1));
+    let used = at_bad() > back + 10;
+    let _ = std::fs::remove_dir_all(folder);
+    (tried, used)
+}
+
+#[test]
+fn one_node_tries_a_bad_server_for_all_and_all_come_back_to_it() {
+    let (together, alone) = std::thread::scope(|scope| {
+        let alone = scope.spawn(|| trials("alone", false));
+        (trials("together", true), alone.join().unwrap())
+    });
+    println!("trials of a bad server in 6 s by 4 nodes: {together:?} with a fleet, {alone:?} without");
+    assert!(together.1 && alone.1, "{together:?} {alone:?}");
+    assert!(together.0 * 2 < alone.0, "{together:?} {alone:?}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -38,8 +38,24 @@
         Node::process(name, servers, [operator, semantics, discovery], None)
     }
 
+    #[allow(dead_code)] // for fleets of nodes alone
+    /// One of this name in its configuration; `test` keeps its files apart from those of other tests.
+    pub fn named(me: &str, test: &str, servers: &[SocketAddr], operator: &str) -> Node {
+        Node::process_of(me, &format!("{test}-{me}"), servers, [operator, "safe", "127.0.0.1:1"], None)
+    }
+
     /// The same with the operators' text, the effect and discovery's address, and where it listens.
     pub fn process(name: &str, servers: &[SocketAddr], texts: [&str; 3], listen: Option<SocketAddr>) -> Node {
+        Node::process_of("n0", name, servers, texts, listen)
+    }
+
+    fn process_of(
+        me: &str,
+        name: &str,
+        servers: &[SocketAddr],
+        texts: [&str; 3],
+        listen: Option<SocketAddr>,
+    ) -> Node {
         let [operator, semantics, discovery] = texts;
         let entry = |(n, addr): (usize, &SocketAddr)| {
             format!(
@@ -48,6 +64,7 @@
         };
         let list = servers.iter().enumerate().map(entry).collect::<Vec<_>>().join(",");
         let config = include_str!("../exchanges/config.json").replace("DISCOVERY", discovery);
+        let config = config.replace("\"n0\"", &format!("\"{me}\""));
         let (from, to) = (config.find("{\"id\"").unwrap(), config.find("]},").unwrap());
         let config =
             config.replace(&config[from..to], &list).replace("\"safe\"", &format!("\"{semantics}\""));
