Serve only once the fleet's place is taken; figures and log lines of leases; ports that last in the lab

The lab's own part of that: ports came from the range from which the system takes ports for outgoing connections, and one took the port of a process that was down. /api/telemetry carries the fleet's figures, the log says when a lease is held and over, and foreign and garbled messages are tested by datagram and connection.

--- a/crates/fleet/src/lease/claim/check.rs
+++ b/crates/fleet/src/lease/claim/check.rs
@@ -429,6 +429,10 @@
         let path = checker.discovery(wrong).map(|p| p.into_actions()).unwrap_or_default();
         path.iter().for_each(|step| println!("    {step:?}"));
     }
+    let reached = |what: &'static str| checker.discovery(what).is_some();
+    if whole && wrong.is_none() {
+        assert!(reached("somebody holds") && reached("a restarted keeper grants"), "{name}");
+    }
     wrong
 }
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -209,6 +209,12 @@
         self.claims.get(task)?.may_act(now)
     }
 
+    /// The tasks held at this moment, each with its epoch.
+    pub fn holds(&self, now: Micros) -> Vec<(String, u64)> {
+        let held = |claim: &Claim| Some((claim.task().to_string(), claim.may_act(now)?));
+        self.claims.values().filter_map(held).collect()
+    }
+
     /// Which other node holds a task, as last heard.
     pub fn status_of(&self, task: &str) -> Option<String> {
         self.claims.get(task)?.other().map(|holder| holder.node.clone())
--- a/crates/lab/src/breaks/fleet.rs
+++ b/crates/lab/src/breaks/fleet.rs
@@ -3,7 +3,7 @@
 use super::faults::{Fault, Kind};
 use super::history::History;
 use super::process::{Process, Start};
-use super::relay::{both, Relay, Weather};
+use super::relay::{lasting, Relay, Weather};
 use crate::emulator::description::Run;
 use crate::sockets::{config, Discovery, Entry, Model};
 use rand::{RngExt, SeedableRng};
@@ -93,13 +93,13 @@
         let mut addrs = Vec::new();
         let mut held = Vec::new();
         for _ in 0..shape.nodes {
-            let pair = both().await.map_err(|e| format!("port: {e}"))?;
+            let pair = lasting().await.map_err(|e| format!("port: {e}"))?;
             addrs.push(pair.0.local_addr().map_err(|e| format!("port: {e}"))?);
             held.push(pair);
         }
         let mut admins = Vec::new();
         for _ in 0..shape.nodes {
-            let pair = both().await.map_err(|e| format!("port: {e}"))?;
+            let pair = lasting().await.map_err(|e| format!("port: {e}"))?;
             admins.push(pair.0.local_addr().map_err(|e| format!("port: {e}"))?);
             held.push(pair);
         }
--- a/crates/lab/src/breaks/relay.rs
+++ b/crates/lab/src/breaks/relay.rs
@@ -14,6 +14,9 @@
 const MOST_HELD: usize = 512;
 /// Connections at once on one link.
 const MOST_CONNECTIONS: usize = 32;
+/// Ports of processes that start again at the same one: the first, and how many.
+const FIRST: u16 = 10_000;
+const LASTING: u16 = 20_000;
 
 /// What a link does to what passes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -62,15 +65,30 @@
 
 /// A port that is free for datagrams and connections alike.
 pub async fn both() -> std::io::Result<(UdpSocket, TcpListener)> {
-    let mut last = None;
-    for _ in 0..50 {
-        let socket = UdpSocket::bind("127.0.0.1:0").await?;
-        match TcpListener::bind(socket.local_addr()?).await {
-            Ok(listener) => return Ok((socket, listener)),
-            Err(e) => last = Some(e),
+    both_at((0..50).map(|_| 0)).await
+}
+
+/// The same, where no outgoing connection takes it while the process that it is for is down.
+pub async fn lasting() -> std::io::Result<(UdpSocket, TcpListener)> {
+    // Below the range from which the system takes ports by itself.
+    let from: u16 = rand::rng().random_range(0..LASTING);
+    both_at((0..LASTING).map(|n| FIRST + (from + n) % LASTING)).await
+}
+
+async fn both_at(ports: impl Iterator<Item = u16>) -> std::io::Result<(UdpSocket, TcpListener)> {
+    let mut last = std::io::ErrorKind::AddrInUse.into();
+    for port in ports {
+        let found = async {
+            let socket = UdpSocket::bind(("127.0.0.1", port)).await?;
+            let listener = TcpListener::bind(socket.local_addr()?).await?;
+            Ok((socket, listener))
+        };
+        match found.await {
+            Ok(found) => return Ok(found),
+            Err(e) => last = e,
         }
     }
-    Err(last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()))
+    Err(last)
 }
 
 async fn datagrams(socket: Rc<UdpSocket>, to: SocketAddr, weather: Rc<Cell<Weather>>, seed: u64) {
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -126,15 +126,16 @@
             pool.sweep();
         }
     });
-    let shared =
-        Rc::new(Shared::new(boot.clone(), bounds.clone(), tell.clone(), phases.clone(), streams.clone()));
-    spawn_local(accept(listener, shared.clone(), phases));
-    tracing::info!(node = %config.name, listen = %bound, "serving on {bound}");
+    // Before clients are told to come: a node that can't take its place must not serve as if it had.
     let place = operator.fleet.as_ref().map(|fleet| fleet.place(&config.name)).transpose()?;
     let fleet = match place {
         Some(place) => Some(Fleet::start(place, tell.clone(), phase.clone(), clock).await?),
         None => None,
     };
+    let shared =
+        Rc::new(Shared::new(boot.clone(), bounds.clone(), tell.clone(), phases.clone(), streams.clone()));
+    spawn_local(accept(listener, shared.clone(), phases));
+    tracing::info!(node = %config.name, listen = %bound, "serving on {bound}");
     let admin = Rc::new(Admin {
         tell: tell.clone(),
         phase: phase.clone(),
--- a/src/protocol/admin.rs
+++ b/src/protocol/admin.rs
@@ -42,6 +42,8 @@
     pub targets_disabled: usize,
     /// Files taken and turned down at SIGHUP.
     pub reloads: (u64, u64),
+    /// Of the node's part in its fleet, by name, where it has one.
+    pub fleet: Vec<(&'static str, u64)>,
 }
 
 /// Reads which call a head is for.
@@ -95,7 +97,7 @@
         ("reload_success", f.reloads.0),
         ("reload_failure", f.reloads.1),
     ];
-    for (name, value) in rest {
+    for (name, value) in rest.into_iter().chain(f.fleet.iter().copied()) {
         let _ = writeln!(body, "app_{name} {value}");
     }
     answer("text/plain", &body)
--- a/src/transport/admin.rs
+++ b/src/transport/admin.rs
@@ -86,7 +86,10 @@
                 let (figures, told) = oneshot::channel();
                 let asked = self.tell.send(Message::Figures(figures)).await.is_ok();
                 match told.await.ok().filter(|_| asked) {
-                    Some(told) => admin::figures(&Figures { reloads: self.reloads.get(), ..told }),
+                    Some(told) => {
+                        let fleet = self.fleet.as_ref().map(|fleet| fleet.figures()).unwrap_or_default();
+                        admin::figures(&Figures { reloads: self.reloads.get(), fleet, ..told })
+                    }
                     None => request::own_answer(503, "the node is ending", None, true),
                 }
             }
--- a/src/transport/fleet/mod.rs
+++ b/src/transport/fleet/mod.rs
@@ -59,9 +59,10 @@
     pub every: Micros,
 }
 
-/// Messages dropped, by reason.
+/// Bytes sent, and messages dropped, by reason.
 #[derive(Clone, Copy, Debug, Default)]
 struct DroppedCounts {
+    sent_bytes: u64,
     garbled: u64,
     foreign: u64,
     unreached: u64,
@@ -187,6 +188,7 @@
 
     async fn run(self: Rc<Self>, mut told: mpsc::Receiver<Told>) {
         let mut bytes = vec![0; envelope::MOST + 1024];
+        let mut held_before: Vec<(String, u64)> = Vec::new();
         loop {
             let due = self.node.borrow().due();
             let wait = due.map_or(IDLE, |at| Duration::from_micros(at.saturating_sub(self.clock.now())));
@@ -211,6 +213,14 @@
             }
             let out = self.node.borrow_mut().turn(self.clock.now());
             self.carry_out(out);
+            let holds = self.node.borrow().holds(self.clock.now());
+            for (task, epoch) in holds.iter().filter(|held| !held_before.contains(held)) {
+                tracing::info!(task, epoch, "lease held");
+            }
+            for (task, epoch) in held_before.iter().filter(|held| !holds.contains(held)) {
+                tracing::info!(task, epoch, "lease over");
+            }
+            held_before = holds;
         }
     }
 
@@ -276,6 +286,7 @@
             return self.count(|d| d.unreached += 1);
         };
         let bytes = envelope::write(&envelope);
+        self.count(|d| d.sent_bytes += bytes.len() as u64);
         if bytes.len() <= envelope::DATAGRAM {
             // What does not go out is lost, as any datagram may be.
             if self.socket.try_send_to(&bytes, addr).is_err() {
--- a/src/transport/fleet/status.rs
+++ b/src/transport/fleet/status.rs
@@ -12,6 +12,26 @@
 }
 
 impl Fleet {
+    /// The figures of the fleet, beside the node's own.
+    pub fn figures(&self) -> Vec<(&'static str, u64)> {
+        let now = self.clock.now();
+        let (node, dropped) = (self.node.borrow(), self.dropped.get());
+        let (status, counts) = (node.status(now), node.counts());
+        let held = status.claims.iter().filter(|claim| claim.1.is_some()).count();
+        vec![
+            ("fleet_members", status.others.len() as u64 + 1),
+            ("fleet_leases_held", held as u64),
+            ("fleet_keeper_granting", u64::from(matches!(status.keeper, Some((Standing::Granting, _))))),
+            ("fleet_keeper_disk_failed", u64::from(status.broken)),
+            ("fleet_grants", counts.granted),
+            ("fleet_refusals", counts.refused),
+            ("fleet_messages_sent", counts.sent),
+            ("fleet_messages_taken", counts.taken),
+            ("fleet_messages_garbled", dropped.garbled),
+            ("fleet_messages_foreign", dropped.foreign + counts.other_keepers),
+        ]
+    }
+
     /// Members, keepers and leases as this node sees them.
     pub fn status(&self) -> Value {
         let now = self.clock.now();
@@ -50,7 +70,7 @@
             "keepers": keepers.keys().collect::<Vec<_>>(),
             "keepers_number": self.node.borrow().keepers_number(), "keeper": keeper,
             "claims": claims.collect::<Vec<_>>(),
-            "messages": {"sent": counts.sent, "taken": counts.taken, "garbled": dropped.garbled,
+            "messages": {"sent": counts.sent, "sent_bytes": dropped.sent_bytes, "taken": counts.taken, "garbled": dropped.garbled,
                 "foreign": dropped.foreign, "other_keepers": counts.other_keepers, "unreached": dropped.unreached},
             "grants": counts.granted, "refusals": counts.refused,
             "roll": self.roll_status(),
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -204,6 +204,7 @@
             targets: self.directory.listed(),
             targets_disabled: self.router.avoided(),
             reloads: (0, 0),
+            fleet: Vec::new(),
         }
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,9 +4,12 @@
 mod support;
 
 use poppykeel::program::config::operator::Operator;
+use poppykeel_fleet::envelope::{self, Body, Envelope};
+use poppykeel_fleet::trials;
 use poppykeel_standin::{Fault, Outcome, Script, Standin};
 use std::collections::BTreeSet;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 use support::{ask, read, Node};
 
@@ -89,8 +92,77 @@
     assert!(alone.place("n9").is_ok());
 }
 
+/// One call at a node's operators' address.
+fn call(node: &Node, line: &str) -> String {
+    let began = Instant::now();
+    let at: SocketAddr = loop {
+        let found = node.log.lock().unwrap().iter().find_map(|l| {
+            let text = l.split("operators call at ").nth(1)?;
+            text.split('"').next()?.parse().ok()
+        });
+        match found {
+            Some(at) => break at,
+            None => assert!(began.elapsed() < Duration::from_secs(10), "no operators' address"),
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    };
+    let mut stream = TcpStream::connect(at).unwrap();
+    write!(stream, "{line} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text
+}
+
+#[test]
+fn foreign_and_garbled_messages_are_dropped_and_counted_by_datagram_and_connection() {
+    let server = Standin::start(vec![Script::default()]).unwrap();
+    let folder = std::env::temp_dir().join(format!("fleet-drop-{}", std::process::id()));
+    let at = port();
+    let node = Node::named("n0", "drop", server.addrs(), &fleet(at, at, &folder.display().to_string()));
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let message = |fleet: &str, to: &str, names: usize| {
+        let names = (0..names).map(|n| format!("a server with a long name, number {n}")).collect();
+        envelope::write(&Envelope {
+            fleet: fleet.into(),
+            keepers: 1,
+            from: ("n7".into(), 1),
+            at,
+            to: to.into(),
+            body: Body::Trials(trials::Message::Ejected(names)),
+        })
+    };
+    let (foreign, own) = (message("g", "n0", 1), message("f", "n0", 1));
+    let long = message("f", "n0", 2000);
+    assert!(long.len() > envelope::DATAGRAM);
+    socket.send_to(&foreign, at).unwrap();
+    socket.send_to(&message("f", "n1", 1), at).unwrap();
+    socket.send_to(&own, at).unwrap();
+    socket.send_to(&own[..own.len() - 1], at).unwrap();
+    socket.send_to(&[7; 900], at).unwrap();
+    for bytes in [&long[..], &long[..5000], &foreign] {
+        TcpStream::connect(at).unwrap().write_all(bytes).unwrap();
+    }
+    let began = Instant::now();
+    loop {
+        let figures = call(&node, "GET /api/telemetry");
+        let figure = |name: &str| {
+            let line = figures.lines().find_map(|l| l.strip_prefix(&format!("app_fleet_{name} ")));
+            line.and_then(|n| n.parse::<u64>().ok())
+        };
+        if (figure("messages_foreign"), figure("messages_garbled")) == (Some(3), Some(3)) {
+            break;
+        }
+        assert!(began.elapsed() < Duration::from_secs(10), "{figures}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(call(&node, "GET /api/fleet").contains("\"fleet\":\"f\""));
+    assert!(call(&node, "POST /api/fleet/roll?out=none").starts_with("HTTP/1.1 400"));
+    drop(node);
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
 /// Requests that a bad server got while several nodes served for a while, and whether all use it again once it is well.
-fn trials(name: &str, with: bool) -> (usize, bool) {
+fn tried(name: &str, with: bool) -> (usize, bool) {
     let bad = || Script { tokens: 3, ..Script::default() }.with(Fault::Status(500));
     let good = || Script { tokens: 3, ..Script::default() };
     let servers = Standin::start(vec![good(), bad()]).unwrap();
@@ -138,8 +210,8 @@
 #[test]
 fn one_node_tries_a_bad_server_for_all_and_all_come_back_to_it() {
     let (together, alone) = std::thread::scope(|scope| {
-        let alone = scope.spawn(|| trials("alone", false));
-        (trials("together", true), alone.join().unwrap())
+        let alone = scope.spawn(|| tried("alone", false));
+        (tried("together", true), alone.join().unwrap())
     });
     println!("trials of a bad server in 6 s by 4 nodes: {together:?} with a fleet, {alone:?} without");
     assert!(together.1 && alone.1, "{together:?} {alone:?}");
