End the lab's nodes with the lab, however that ends

Each now asks the kernel to be killed with the process that started it (a seam that the lab alone sets), which reaches stopped ones too. Rejected: a handler for signals in the lab, since SIGKILL has none.

--- a/crates/fleet/src/lease/claim/check.rs
+++ b/crates/fleet/src/lease/claim/check.rs
@@ -486,6 +486,6 @@
             Fleet { rounds: 1, restarts: 1, old_disk: true, trust: false, ahead: true, ..plain() },
         ),
     ];
-    let found: Vec<_> = lists.into_iter().map(|(name, fleet)| explore(name, fleet, 100_000_000)).collect();
+    let found: Vec<_> = lists.into_iter().map(|(name, fleet)| explore(name, fleet, 40_000_000)).collect();
     assert!(found.iter().all(Option::is_none));
 }
--- a/crates/lab/src/breaks/process.rs
+++ b/crates/lab/src/breaks/process.rs
@@ -44,6 +44,8 @@
             .env("GW_ADMIN", &start.admin)
             .env("POPPYKEEL_TEST_CLOCK_PPM", start.clock_ppm.to_string())
             .env("POPPYKEEL_TEST_WALL_S", start.wall_s.to_string())
+            // Also where the lab is killed, and where this one is stopped at that moment.
+            .env("POPPYKEEL_TEST_WITH_PARENT", "1")
             .env_remove("GW_LISTEN")
             .env_remove("GW_NAME")
             .env_remove("GW_DISCOVERY")
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -36,12 +36,19 @@
 /// How often it is looked whether the last client has left.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// For tests alone: this process ends with the one that started it, however that ends.
+const WITH_PARENT: &str = "POPPYKEEL_TEST_WITH_PARENT";
+
 /// Serves until told to stop and until what runs has ended; `reread` gives the configuration as it is by then.
 pub fn serve(
     config: Config,
     operator: Operator,
     reread: impl Fn() -> Result<(Config, Operator), String>,
 ) -> Result<(), String> {
+    if std::env::var_os(WITH_PARENT).is_some() {
+        let kill = Some(rustix::process::Signal::KILL);
+        rustix::process::set_parent_process_death_signal(kill).map_err(|e| format!("{WITH_PARENT}: {e}"))?;
+    }
     // The runtime would keep a panic inside its task, and the node would go on without that part.
     let report = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
