--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! there. [`Node`] puts them together as one process has them. `docs/leases.md` says in exact words what holds, on
 //! which assumptions, and how it is attacked.
 
+pub mod budget;
 pub mod envelope;
 pub mod lease;
 pub mod members;
