Spend retries and second copies out of a budget of the whole fleet

Retries were limited by request and node alone: nine nodes whose servers fail together sent nearly as many retries as requests. [fleet.budgets] sets a whole for all; transport/fleet/budgets.rs asks for this node's share and divides while it holds the lease; the module spends it as one more limit (Allowed in interface.rs, Spending in state.rs, two places in brain.rs; room by joining two conditions). With no budget nothing changes. 'poppykeel fleet budgets' and /api/fleet show shares; settings that do not add up are refused by key and line.

--- a/crates/fleet/src/envelope.rs
+++ b/crates/fleet/src/envelope.rs
@@ -27,6 +27,8 @@
     Roll(crate::roll::Message),
     /// Of trials of ejected servers.
     Trials(crate::trials::Message),
+    /// Of budgets.
+    Budget(crate::budget::Message),
 }
 
 /// Requests served, refused and failed.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -323,7 +323,9 @@
                 out
             }
             // What tasks say to each other is their drivers'.
-            Body::AskFigures(_) | Body::Figures(..) | Body::Roll(_) | Body::Trials(_) => Vec::new(),
+            Body::AskFigures(_) | Body::Figures(..) | Body::Roll(_) | Body::Trials(_) | Body::Budget(_) => {
+                Vec::new()
+            }
             Body::Node(answer) => {
                 let keeper = self.settings.keepers.keys().position(|name| *name == envelope.from.0);
                 let task = match &answer {
--- a/crates/lab/src/breaks/fleet.rs
+++ b/crates/lab/src/breaks/fleet.rs
@@ -5,7 +5,7 @@
 use super::process::{Process, Start};
 use super::relay::{lasting, Relay, Weather};
 use crate::emulator::description::Run;
-use crate::sockets::{config, Discovery, Entry, Model};
+use crate::sockets::{config, Arrivals, Discovery, Entry, Model};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::json;
@@ -34,12 +34,24 @@
     pub every: Duration,
     /// Whether wall clocks are wrong, some by a year.
     pub walls: bool,
+    /// More of the operators' file, as TOML.
+    pub more: String,
 }
 
 impl Default for Shape {
     fn default() -> Self {
         let (lease, every) = (Duration::from_secs(1), Duration::from_millis(20));
-        Shape { nodes: 9, keepers: 3, lease, drift: 50_000, skew: 50_000, apart: false, every, walls: true }
+        Shape {
+            nodes: 9,
+            keepers: 3,
+            lease,
+            drift: 50_000,
+            skew: 50_000,
+            apart: false,
+            every,
+            walls: true,
+            more: String::new(),
+        }
     }
 }
 
@@ -54,7 +66,9 @@
     links: BTreeMap<(usize, usize), Relay>,
     admins: Vec<SocketAddr>,
     _discovery: Discovery,
-    _models: Vec<Model>,
+    models: Vec<Model>,
+    serving: Vec<SocketAddr>,
+    arrivals: Arrivals,
 }
 
 fn copy(from: &Path, to: &Path) -> std::io::Result<()> {
@@ -83,8 +97,13 @@
         (run.fleet.nodes, run.fleet.servers, run.fleet.zones) = (shape.nodes, 2, 1);
         let run = run.check()?;
         let (mut models, mut entries) = (Vec::new(), Vec::new());
+        let (since, arrivals) = (tokio::time::Instant::now(), Arrivals::default());
         for n in 0..run.fleet.servers {
-            let model = Model::start(run.fleet.server.clone()).await?;
+            let mut model = Model::start(run.fleet.server.clone()).await?;
+            // Once more, so that the listener's own copy has the record, too.
+            model.end();
+            model.record(since, &arrivals);
+            model.restart().await?;
             let (name, zone) = (format!("m-{n}"), "z0".to_string());
             entries.push(Entry { name, addr: model.addr, zone, state: "up", started_ms: 0 });
             models.push(model);
@@ -103,6 +122,12 @@
             admins.push(pair.0.local_addr().map_err(|e| format!("port: {e}"))?);
             held.push(pair);
         }
+        let mut serving = Vec::new();
+        for _ in 0..shape.nodes {
+            let pair = lasting().await.map_err(|e| format!("port: {e}"))?;
+            serving.push(pair.0.local_addr().map_err(|e| format!("port: {e}"))?);
+            held.push(pair);
+        }
         let mut links = BTreeMap::new();
         for from in 0..shape.nodes {
             for to in (0..shape.nodes).filter(|to| *to != from) {
@@ -115,8 +140,7 @@
         for me in 0..shape.nodes {
             let path = |kind: &str| folder.join(format!("node-{me}.{kind}"));
             let (json, toml) = (path("json"), path("toml"));
-            let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-            std::fs::write(&json, config(&run, me, listen, &discovery)).map_err(|e| named(&json, e))?;
+            std::fs::write(&json, config(&run, me, serving[me], &discovery)).map_err(|e| named(&json, e))?;
             let keeper = |k: usize| format!("lab-{k} = \"{}\"", addrs[k]);
             let keepers: Vec<String> = (0..shape.keepers).map(keeper).collect();
             let via =
@@ -125,7 +149,7 @@
             let text = format!(
                 "[fleet]\nname = \"lab\"\nlisten = \"{}\"\nfolder = {:?}\nlease = \"{}ms\"\ndrift = {}\n\
                  probe = \"200ms\"\npatience = \"100ms\"\n[fleet.keepers]\n{}\n[fleet.via]\n{}\n\
-                 [fleet.report]\nto = \"{collector}\"\nevery = \"{}ms\"\n",
+                 [fleet.report]\nto = \"{collector}\"\nevery = \"{}ms\"\n{}",
                 addrs[me],
                 path("disk").display().to_string(),
                 shape.lease.as_millis(),
@@ -133,6 +157,7 @@
                 keepers.join("\n"),
                 via.join("\n"),
                 shape.every.as_millis(),
+                shape.more,
             );
             std::fs::write(&toml, text).map_err(|e| named(&toml, e))?;
             let skew = i64::from(shape.skew);
@@ -164,12 +189,34 @@
             links,
             admins,
             _discovery: discovery,
-            _models: models,
+            models,
+            serving,
+            arrivals,
         };
         (0..shape.nodes).try_for_each(|me| fleet.begin(me))?;
         Ok(fleet)
     }
 
+    /// Where clients call each node.
+    pub fn serving(&self) -> Vec<SocketAddr> {
+        self.serving.clone()
+    }
+
+    /// What the servers write down.
+    pub fn arrivals(&self) -> Arrivals {
+        self.arrivals.clone()
+    }
+
+    /// How many model servers there are.
+    pub fn servers(&self) -> usize {
+        self.models.len()
+    }
+
+    /// Whether a server answers every request with an error.
+    pub fn fail(&self, server: usize, failing: bool) {
+        self.models[server].fail(failing);
+    }
+
     /// Where operators call each node.
     pub fn admins(&self) -> Vec<SocketAddr> {
         self.admins.clone()
--- a/crates/lab/src/breaks/mod.rs
+++ b/crates/lab/src/breaks/mod.rs
@@ -2,6 +2,7 @@
 //! relay of the lab's; what the processes act upon is a stand-in that writes everything down, and the verdict comes
 //! from its record alone. One seed plays a run's faults again.
 
+mod budgets;
 mod collector;
 mod faults;
 mod fleet;
@@ -11,6 +12,7 @@
 mod relay;
 mod roll;
 
+pub use budgets::{budgets, judge_budget, Budgeted, Spent};
 pub use collector::{judge, Act, Collector, Verdict};
 pub use faults::{Fault, Kind};
 pub use fleet::Shape;
--- a/crates/lab/src/breaks/roll.rs
+++ b/crates/lab/src/breaks/roll.rs
@@ -72,6 +72,21 @@
     tokio::time::timeout(CALL, asked).await.ok().flatten()
 }
 
+/// Which node holds a task now, and under which epoch.
+pub(super) async fn holder_of(admins: &[SocketAddr], task: &str) -> Option<(usize, u64)> {
+    for (me, at) in admins.iter().enumerate() {
+        let told = call(*at, "GET /api/fleet").await;
+        let Some(told) = told.and_then(|(_, body)| serde_json::from_str::<Value>(&body).ok()) else {
+            continue;
+        };
+        let claim = told["claims"].as_array().and_then(|c| c.iter().find(|c| c["task"] == task).cloned());
+        if let Some(epoch) = claim.and_then(|c| c["held_epoch"].as_u64()) {
+            return Some((me, epoch));
+        }
+    }
+    None
+}
+
 /// Probes one node until told to end.
 async fn probe(at: SocketAddr, history: History, found: Outs, end: Rc<Cell<bool>>) {
     let mut since: Option<Micros> = None;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
-use poppykeel_lab::breaks::{self, Kind, Roll, Shape, Wanted};
+use poppykeel_lab::breaks::{self, Budgeted, Kind, Roll, Shape, Wanted};
 use poppykeel_lab::emulator::description::Run as Description;
 use poppykeel_lab::emulator::policies::Policy;
 use poppykeel_lab::emulator::World;
@@ -61,6 +61,39 @@
     Leases(BreakLeases),
     /// All nodes taken out one after the other: never more than allowed, and all in the end
     Roll(BreakRoll),
+    /// A budget of retries for all nodes: never more than the whole, by the servers' own records
+    Budgets(BreakBudgets),
+}
+
+#[derive(Args)]
+struct BreakBudgets {
+    /// Processes
+    #[arg(long, default_value_t = 9)]
+    nodes: usize,
+    /// Faults, one after the other
+    #[arg(long, default_value_t = 20)]
+    rounds: usize,
+    /// From which all faults are drawn
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Retries a second of the whole fleet
+    #[arg(long, default_value_t = 20.0)]
+    rate: f64,
+    /// And at once
+    #[arg(long, default_value_t = 20.0)]
+    burst: f64,
+    /// Without the budget, for comparison
+    #[arg(long)]
+    without: bool,
+    /// Only faults of these kinds
+    #[arg(long, value_enum, value_delimiter = ',')]
+    only: Vec<Kind>,
+    /// The node's program; by default this very one serves
+    #[arg(long, value_name = "FILE")]
+    node: Option<PathBuf>,
+    /// Where configurations, disks, logs and the history go
+    #[arg(long, value_name = "FOLDER", default_value = "target/lab/break-budgets")]
+    out: PathBuf,
 }
 
 impl Breaks {
@@ -68,6 +101,7 @@
         match self {
             Breaks::Leases(leases) => leases.run(),
             Breaks::Roll(roll) => roll.run(),
+            Breaks::Budgets(budgets) => budgets.run(),
         }
     }
 }
@@ -390,6 +424,21 @@
     }
 }
 
+impl BreakBudgets {
+    fn run(&self) -> Result<bool, String> {
+        let program = sockets::program(self.node.as_deref())?;
+        let shape = Shape { nodes: self.nodes, every: std::time::Duration::from_secs(1), ..Shape::default() };
+        let (whole, with, only) = ((self.rate, self.burst), !self.without, self.only.clone());
+        let wanted = Budgeted { shape, rounds: self.rounds, seed: self.seed, only, whole, with };
+        let found = on_sockets(breaks::budgets(&wanted, &program, &self.out))?;
+        println!(
+            "rounds {}, requests {}, repeats {}, worst window {:.2} of its bound, busiest second {:.2} of the rate, seed {}",
+            found.rounds, found.requests, found.repeats, found.worst, found.use_of_whole, self.seed
+        );
+        Ok(found.worst <= 1.0)
+    }
+}
+
 impl Report {
     fn run(&self) -> Result<(), String> {
         let found = existing(&self.folder)?;
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -10,6 +10,7 @@
 
 pub(crate) use discovery::{Discovery, Entry};
 pub use load::play;
+pub use model::Arrivals;
 pub(crate) use model::Model;
 pub(crate) use nodes::config;
 pub use nodes::program;
--- a/crates/lab/src/sockets/model.rs
+++ b/crates/lab/src/sockets/model.rs
@@ -45,6 +45,12 @@
     tasks: Vec<AbortHandle>,
 }
 
+/// What servers wrote down of requests' arrivals: microseconds since the record began, and the request's id.
+pub type Arrivals = Rc<RefCell<Vec<(Micros, String)>>>;
+
+/// Arrivals that a record holds; later ones are left out.
+const MOST_ARRIVALS: usize = 4_000_000;
+
 /// A model server.
 #[derive(Clone)]
 pub struct Model {
@@ -52,9 +58,16 @@
     pub addr: SocketAddr,
     inner: Rc<RefCell<Inner>>,
     changed: Rc<Notify>,
+    /// Where arrivals are written down, and since when.
+    record: Option<(Instant, Arrivals)>,
 }
 
 impl Model {
+    /// Writes down arrivals from now on; several servers may share a record. Set it before clients come.
+    pub fn record(&mut self, since: Instant, arrivals: &Arrivals) {
+        self.record = Some((since, arrivals.clone()));
+    }
+
     /// Starts one on a free port.
     pub async fn start(kind: Kind) -> Result<Model, String> {
         let listener = TcpListener::bind("127.0.0.1:0").await.map_err(|e| format!("model server: {e}"))?;
@@ -67,7 +80,12 @@
             failing: false,
             tasks: Vec::new(),
         };
-        let model = Model { addr, inner: Rc::new(RefCell::new(inner)), changed: Rc::new(Notify::new()) };
+        let model = Model {
+            addr,
+            inner: Rc::new(RefCell::new(inner)),
+            changed: Rc::new(Notify::new()),
+            record: None,
+        };
         model.listen(listener);
         spawn_local(model.clone().steps());
         Ok(model)
@@ -218,7 +236,16 @@
             }
             let Start::Request { target, .. } = &head.start else { return None };
             match target.split('?').next() {
-                Some("/v1/chat/completions") => self.answer(&mut wire, &body).await?,
+                Some("/v1/chat/completions") => {
+                    if let Some((since, arrivals)) = &self.record {
+                        let id = head.headers.get("Req-Id").unwrap_or_default().to_string();
+                        let mut arrivals = arrivals.borrow_mut();
+                        if arrivals.len() < MOST_ARRIVALS {
+                            arrivals.push((since.elapsed().as_micros() as Micros, id));
+                        }
+                    }
+                    self.answer(&mut wire, &body).await?
+                }
                 Some("/load") => plain(&mut wire, 200, "", &self.report()).await?,
                 Some("/healthz") => plain(&mut wire, 200, "", "{}").await?,
                 _ => plain(&mut wire, 404, "", "").await?,
--- a/crates/lab/tests/breaks.rs
+++ b/crates/lab/tests/breaks.rs
@@ -1,6 +1,8 @@
 //! Several processes of the program under faults: never two holders, and soon one again. The verdict is the stand-in's.
 
-use poppykeel_lab::breaks::{judge, roll, run, Act, Found, Kind, Roll, Shape, Wanted};
+use poppykeel_lab::breaks::{
+    budgets, judge, judge_budget, roll, run, Act, Budgeted, Found, Kind, Roll, Shape, Wanted,
+};
 use std::path::{Path, PathBuf};
 
 fn folder(name: &str) -> PathBuf {
@@ -86,6 +88,39 @@
     std::fs::remove_dir_all(folder).unwrap();
 }
 
+fn spend(seed: u64, rounds: usize, with: bool) -> poppykeel_lab::breaks::Spent {
+    let (folder, program) =
+        (folder(&format!("budgets-{with}")), Path::new(env!("CARGO_BIN_EXE_poppykeel-lab")));
+    let wanted = Budgeted { shape: Shape::default(), rounds, seed, only: vec![], whole: (20.0, 20.0), with };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let found = tokio::task::LocalSet::new().block_on(&runtime, budgets(&wanted, program, &folder)).unwrap();
+    println!("{with}: {found:?}");
+    std::fs::remove_dir_all(folder).unwrap();
+    found
+}
+
+#[test]
+fn retries_of_nine_processes_never_exceed_the_whole_by_the_servers_records() {
+    let found = spend(3, 5, true);
+    assert!(found.worst <= 1.0 && found.repeats > 0, "{found:?}");
+    // The record can show it: without the budget the same clients and servers go far beyond.
+    let without = spend(3, 2, false);
+    assert!(without.worst > 3.0, "{without:?}");
+}
+
+#[test]
+fn the_servers_verdict_counts_a_requests_second_arrival_in_every_window() {
+    let arrival = |ms: u64, id: &str| (ms * 1000, id.to_string());
+    // Bound: 2 at once, 2 a second and a tenth for what comes late.
+    let whole = (2.0, 2.0);
+    let firsts = [arrival(0, "a"), arrival(1, "b"), arrival(2, "c")];
+    assert_eq!(judge_budget(&firsts, whole).repeats, 0);
+    let within = [&firsts[..], &[arrival(5, "a"), arrival(5, "a"), arrival(600, "b")]].concat();
+    assert!(judge_budget(&within, whole).worst <= 1.0);
+    let beyond = [&firsts[..], &[arrival(5, "a"), arrival(6, "a"), arrival(7, "b")]].concat();
+    assert!(judge_budget(&beyond, whole).worst > 1.0);
+}
+
 /// Processes whose command line has this text.
 fn running(text: &str) -> usize {
     let all = std::fs::read_dir("/proc")
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -448,7 +448,7 @@
             out.push(Action::Fail { request: id });
             self.close(id, out);
         } else if self.requests.get(&id).is_some_and(|r| !r.ended && !r.queued && r.out().next().is_none()) {
-            match self.may_repeat(&self.requests[&id]) {
+            match self.may_repeat(&self.requests[&id]) && self.spending[0].take(self.now) {
                 true => self.hold(id, true),
                 false => self.answer(id, out),
             }
@@ -553,9 +553,9 @@
             }
             stuck &= r.silent_since.is_some();
         }
-        let may = !self.most_ejected && !request.queued && self.may_repeat(request);
+        let may = (stuck || copy) && !self.most_ejected && !request.queued && self.may_repeat(request);
         let part = COPIES * self.learned.sent.get(self.now);
-        if may && (stuck || (copy && self.copies.take(self.now, part, 1.0 + part))) {
+        if may && (stuck || self.copies.take(self.now, part, 1.0 + part)) && self.spend_copy() {
             match self.settings.limits.second_copies {
                 true => self.hold(id, true),
                 false => self.call_off(id, out),
--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -24,6 +24,8 @@
     pub(super) ask_at: Option<Seconds>,
     /// Second copies that may still be sent.
     pub(super) copies: Allowance,
+    /// What the fleet allows: retries, and second copies.
+    pub(super) spending: [Spending; 2],
 }
 
 impl Brain {
@@ -47,6 +49,7 @@
             pool: Pool::new(),
             ask_at: None,
             copies: Allowance::default(),
+            spending: Default::default(),
         })
     }
 
@@ -60,6 +63,23 @@
         self.replicas.values().filter(|r| !r.gone && (!r.up || Self::ejected(r))).count()
     }
 
+    /// Counts a second copy where they are allowed at all; what is called off is counted as the retry that follows.
+    pub(super) fn spend_copy(&mut self) -> bool {
+        !self.settings.limits.second_copies || self.spending[1].take(self.now)
+    }
+
+    /// What the fleet allows from now on.
+    pub fn allow(&mut self, allowed: Allowed) {
+        let [retries, copies] = &mut self.spending;
+        retries.set(self.now, allowed.retries);
+        copies.set(self.now, allowed.copies);
+    }
+
+    /// How many retries and second copies have been wanted since the start, where the fleet has a budget for them.
+    pub fn wanted(&self) -> [u64; 2] {
+        [0, 1].map(|n| self.spending[n].wanted)
+    }
+
     /// Each listed replica: whether it gets trials only, and when its last answer came, if nothing has failed since.
     pub fn standings(&self) -> Vec<(ReplicaId, bool, Option<Seconds>)> {
         let well = |r: &Replica| Some(r.life).filter(|life| r.failures == 0 && r.broken == 0 && *life > 0.0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -226,6 +226,30 @@
     pub repeat: bool,
 }
 
+/// This router's part of a budget of the whole fleet, in units and units a second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// Its share, beside the floor, until then.
+    pub rate: f64,
+    /// The share's part of what may be spent at once.
+    pub burst: f64,
+    /// What it may spend with no share.
+    pub floor: f64,
+    /// And at once.
+    pub floor_burst: f64,
+    /// The share's end.
+    pub until: Seconds,
+}
+
+/// What the fleet allows beyond first tries; where there is no budget the router's own limits alone hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Allowed {
+    /// Attempts after a request's first.
+    pub retries: Option<Budget>,
+    /// Second copies of requests that are overdue.
+    pub copies: Option<Budget>,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/program/config/fleet.rs
+++ b/src/program/config/fleet.rs
@@ -1,7 +1,9 @@
 //! `[fleet]` of the operators' file: what this node has to do with the others.
 
 use super::operator::Span;
+use crate::transport::fleet::budgets::{self as transport, COPIES, RETRIES};
 use crate::transport::fleet::{Place, Report};
+use poppykeel_fleet::budget::Whole;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -40,9 +42,87 @@
     pub probe: Span,
     #[serde(default = "Fleet::patience")]
     pub patience: Span,
+    pub budgets: Option<Budgets>,
     pub report: Option<ReportTo>,
 }
 
+/// Budgets of the whole fleet.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct Budgets {
+    pub most_nodes: u32,
+    #[serde(default = "Budgets::share")]
+    pub share: Span,
+    pub retries: Option<Budget>,
+    pub copies: Option<Budget>,
+}
+
+/// One of them.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct Budget {
+    pub rate: f64,
+    pub burst: f64,
+    pub floor: f64,
+    pub floor_burst: f64,
+}
+
+impl Budgets {
+    fn share() -> Span {
+        Span(2_000_000)
+    }
+
+    fn all(&self) -> impl Iterator<Item = (&'static str, Budget)> {
+        let named = [(RETRIES, self.retries), (COPIES, self.copies)];
+        named.into_iter().filter_map(|(name, budget)| Some((name, budget?)))
+    }
+
+    fn wholes(&self) -> BTreeMap<String, Whole> {
+        let thousandths = |x: f64| (x * 1e3).round() as u64;
+        let whole = |b: Budget| Whole {
+            rate: thousandths(b.rate),
+            burst: thousandths(b.burst),
+            floor: thousandths(b.floor),
+            floor_burst: thousandths(b.floor_burst),
+            most_nodes: self.most_nodes,
+        };
+        self.all().map(|(name, budget)| (name.to_string(), whole(budget))).collect()
+    }
+
+    fn check(&self, drift: u32) -> Result<(), (String, String)> {
+        let bad = |key: &str, what: &str| Err((format!("fleet.budgets.{key}"), what.to_string()));
+        if self.most_nodes == 0 || self.most_nodes > 4096 {
+            return bad("most_nodes", "expected 1 to 4096 nodes");
+        }
+        if !(200_000..=600_000_000).contains(&self.share.0) {
+            return bad("share", "expected a time from 200ms to 10m");
+        }
+        for (name, b) in self.all() {
+            for (key, value) in
+                [("rate", b.rate), ("burst", b.burst), ("floor", b.floor), ("floor_burst", b.floor_burst)]
+            {
+                if !(0.0..=1e9).contains(&value) {
+                    return bad(&format!("{name}.{key}"), "expected a number from 0 to 1000000000");
+                }
+            }
+            if b.rate > 0.0 && b.floor_burst < 1.0 {
+                return bad(
+                    &format!("{name}.floor_burst"),
+                    "expected at least 1: less is never one whole unit",
+                );
+            }
+        }
+        for (name, whole) in self.wholes() {
+            if let Err((key, what)) = whole.check(drift) {
+                return bad(&format!("{name}.{key}"), &what);
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Where the fleet's report goes.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -102,6 +182,9 @@
         if self.patience.0 == 0 || self.patience.0 > self.lease.0 / 2 {
             return bad("patience", "expected a time above 0 and at most half of lease");
         }
+        if let Some(budgets) = &self.budgets {
+            budgets.check(self.drift)?;
+        }
         if self.report.as_ref().is_some_and(|r| r.every.0 < 1_000) {
             return bad("report.every", "expected a time from 1ms");
         }
@@ -134,6 +217,10 @@
             listen: self.listen,
             via: self.via.clone(),
             folder: self.folder.clone(),
+            budgets: self
+                .budgets
+                .as_ref()
+                .map(|b| transport::Budgets { share: b.share.0, wholes: b.wholes() }),
             report: self.report.as_ref().map(|r| Report { to: r.to, every: r.every.0 }),
         })
     }
--- a/src/program/fleet.rs
+++ b/src/program/fleet.rs
@@ -19,6 +19,8 @@
 enum What {
     /// Show members, keepers, and who holds what for how long
     Status(Status),
+    /// Show the fleet's budgets: whole, floors, what is given to whom, and what is free
+    Budgets(Status),
     /// Take all nodes out one after the other: each lets its clients go, stays out for a while and comes back
     Roll(Roll),
 }
@@ -49,7 +51,7 @@
 impl Fleet {
     pub(super) fn run(&self) -> Result<(), String> {
         let status = match &self.what {
-            What::Status(status) => status,
+            What::Status(status) | What::Budgets(status) => status,
             What::Roll(roll) => {
                 let (out, hold) = (roll.out, roll.hold.as_millis());
                 let told = call(roll.admin, &format!("POST /api/fleet/roll?out={out}&hold_ms={hold}"))?;
@@ -59,9 +61,11 @@
         };
         let body = call(status.admin, "GET /api/fleet")?;
         let told: Value = serde_json::from_str(&body).map_err(|e| format!("{}: {e}", status.admin))?;
-        match status.json {
-            true => println!("{told:#}"),
-            false => print!("{}", table(&told)),
+        match (&self.what, status.json) {
+            (What::Budgets(_), true) => println!("{:#}", told["budgets"]),
+            (What::Budgets(_), false) => print!("{}", budgets(&told)),
+            (_, true) => println!("{told:#}"),
+            (_, false) => print!("{}", table(&told)),
         }
         Ok(())
     }
@@ -90,6 +94,38 @@
     value.as_array().into_iter().flatten()
 }
 
+/// The budgets as a person reads them.
+fn budgets(told: &Value) -> String {
+    if told["budgets"].is_null() {
+        return "this fleet has no budgets\n".into();
+    }
+    let mut out =
+        format!("budgets of fleet {}, as {} sees them\n\n", text(&told["fleet"]), text(&told["node"]));
+    out += &format!(
+        "{:<10} {:>10} {:>10} {:>12} {:>9}\n",
+        "budget", "whole/s", "floor/s", "own share/s", "left ms"
+    );
+    for b in rows(&told["budgets"]["own"]) {
+        let (name, whole, floor) = (text(&b["budget"]), &b["whole"], &b["floor"]);
+        out += &format!("{name:<10} {whole:>10} {floor:>10} {:>12} {:>9}\n", b["share"], b["left_ms"]);
+    }
+    let divided = &told["budgets"]["divided"];
+    if divided.is_null() {
+        out += "\nanother node divides: ask it for who has what ('poppykeel fleet status' names it)\n";
+    }
+    for b in rows(&divided["budgets"]) {
+        let (name, whole, given, free) = (text(&b["budget"]), &b["divided"], &b["given"], &b["free"]);
+        out += &format!(
+            "\n{name}: {whole}/s divided, {given} given, {free} free (epoch {})\n",
+            divided["epoch"]
+        );
+        for n in rows(&b["nodes"]) {
+            out += &format!("  {:<16} {:>10}\n", text(&n["node"]), n["share"]);
+        }
+    }
+    out
+}
+
 /// What a person reads.
 fn table(told: &Value) -> String {
     let mut out = format!("fleet {}, as {} sees it\n\n", text(&told["fleet"]), text(&told["node"]));
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -209,6 +209,14 @@
     pub fn avoided(&self) -> usize {
         self.brain.avoided()
     }
+    /// What the fleet allows this node from now on.
+    pub fn allow(&mut self, allowed: Allowed) {
+        self.brain.allow(allowed);
+    }
+    /// How many retries and second copies have been wanted since the start, where the fleet has a budget for them.
+    pub fn wanted(&self) -> [u64; 2] {
+        self.brain.wanted()
+    }
     /// Each listed replica: whether it gets trials only, and when its last answer came, if nothing has failed since.
     pub fn standings(&self) -> Vec<(ReplicaId, bool, Option<Micros>)> {
         let micros = |s: f64| (s * 1e6) as Micros;
@@ -428,7 +436,8 @@
     }
 }
 
-fn seconds(time: Micros) -> Seconds {
+/// A time of the core's clock as the module takes it.
+pub fn seconds(time: Micros) -> Seconds {
     time as f64 / 1e6
 }
 
--- a/src/transport/fleet/mod.rs
+++ b/src/transport/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The fleet's driver: sockets, timers and the disk round [`poppykeel_fleet::Node`]. Without `[fleet]` none of this
 //! exists: no listener, no thread, no file.
 
+pub mod budgets;
 mod clock;
 mod disk;
 mod report;
@@ -46,6 +47,8 @@
     pub via: BTreeMap<String, SocketAddr>,
     /// A keeper's folder.
     pub folder: Option<PathBuf>,
+    /// Budgets of the whole fleet.
+    pub budgets: Option<budgets::Budgets>,
     /// Where the fleet's report goes.
     pub report: Option<Report>,
 }
@@ -83,6 +86,7 @@
     reports: report::Counts,
     rolls: roll::Rolls,
     trials: trials::Trials,
+    budgets: budgets::Divided,
     phase: Rc<watch::Sender<Phase>>,
     /// The clock of the routing core.
     core: Clock,
@@ -113,7 +117,7 @@
         let disk = RefCell::new(disk);
         let node = RefCell::new(Node::new(place.node.clone(), rand::random(), kept, clock.now()));
         let (dropped, connections, wake) = Default::default();
-        let (reports, rolls, trials) = Default::default();
+        let (reports, rolls, trials, budgets) = Default::default();
         let fleet = Rc::new(Fleet {
             place,
             node,
@@ -128,6 +132,7 @@
             reports,
             rolls,
             trials,
+            budgets,
             phase,
             core,
         });
@@ -136,6 +141,9 @@
         spawn_local(fleet.clone().run(told));
         spawn_local(fleet.clone().roll());
         spawn_local(fleet.clone().trials());
+        if let Some(budgets) = fleet.place.budgets.clone() {
+            spawn_local(fleet.clone().divide(budgets));
+        }
         if let Some(report) = fleet.place.report.clone() {
             spawn_local(fleet.clone().report(report));
         }
@@ -249,6 +257,7 @@
             Body::Figures(number, figures) => self.reports.heard(&envelope.from.0, number, figures),
             Body::Roll(message) => self.rolling(envelope.from.0, message),
             Body::Trials(message) => self.trying(message),
+            Body::Budget(message) => self.budgeting(envelope.from.0, message),
             _ => {
                 let out = self.node.borrow_mut().receive(envelope, self.clock.now());
                 self.carry_out(out);
--- a/src/transport/fleet/status.rs
+++ b/src/transport/fleet/status.rs
@@ -73,6 +73,7 @@
             "messages": {"sent": counts.sent, "sent_bytes": dropped.sent_bytes, "taken": counts.taken, "garbled": dropped.garbled,
                 "foreign": dropped.foreign, "other_keepers": counts.other_keepers, "unreached": dropped.unreached},
             "grants": counts.granted, "refusals": counts.refused,
+            "budgets": self.budget_status(),
             "roll": self.roll_status(),
             "advice": {"held": self.trials.advised.get().0, "back": self.trials.advised.get().1},
             "reports": {"taken": taken, "refused": refused, "unanswered": silent},
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -112,6 +112,11 @@
                 let _ = figures.send(self.figures());
                 return;
             }
+            Message::Allow(allowed) => return self.router.allow(allowed),
+            Message::Wanted(told) => {
+                let _ = told.send(self.router.wanted());
+                return;
+            }
             Message::Replicas(told) => {
                 let all = self.router.standings().into_iter().filter_map(|(id, ejected, well_since)| {
                     Some((self.directory.name(id)?.to_string(), Replica { ejected, well_since }))
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -1,6 +1,6 @@
 //! What drivers tell each other. Everything here is plain data; each driver uses this file and those below it.
 
-use crate::interface::{Arrival, ReplicaId, RequestId};
+use crate::interface::{Allowed, Arrival, ReplicaId, RequestId};
 use crate::protocol::admin::Figures;
 use crate::routing::directory::Members;
 use crate::routing::{Input, Micros};
@@ -86,6 +86,10 @@
     Replicas(oneshot::Sender<BTreeMap<String, Replica>>),
     /// Another node of the fleet tries ejected replicas for all: whether it found them well.
     Advice(Vec<(String, bool)>),
+    /// What the fleet allows this node from now on.
+    Allow(Allowed),
+    /// How many retries and second copies have been wanted since the start.
+    Wanted(oneshot::Sender<[u64; 2]>),
     /// An operator asks for the figures.
     Figures(oneshot::Sender<Figures>),
     /// New settings for the core; answered once they hold.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -83,6 +83,27 @@
         (format!("{good}[fleet.report]\nto = \"here\"\n"), "line 10: fleet.report.to"),
         (format!("{good}[fleet.report]\nto = \"127.0.0.1:1\"\nevery = 0\n"), "line 11: fleet.report.every"),
     ];
+    let budget = |text: &str| format!("{good}[fleet.budgets]\nmost_nodes = 10\nretries = {text}\n");
+    Operator::read(&budget("{ rate = 20, burst = 20, floor = 1, floor_burst = 1 }")).unwrap();
+    let wrong = wrong.into_iter().chain([
+        (
+            budget("{ rate = 20, burst = 20, floor = 3, floor_burst = 1 }"),
+            "line 11: fleet.budgets.retries.floor",
+        ),
+        (
+            budget("{ rate = 20, burst = 9, floor = 1, floor_burst = 1 }"),
+            "line 11: fleet.budgets.retries.floor_burst",
+        ),
+        (
+            budget("{ rate = 20, burst = 20, floor = 1, floor_burst = 0.5 }"),
+            "line 11: fleet.budgets.retries.floor_burst",
+        ),
+        (
+            budget("{ rate = -1, burst = 20, floor = 1, floor_burst = 1 }"),
+            "line 11: fleet.budgets.retries.rate",
+        ),
+        (budget("{ rate = 20 }").replace("most_nodes = 10", "most_nodes = 0"), "line 11"),
+    ]);
     for (text, place) in wrong {
         let error = Operator::read(&text).err().unwrap_or_default();
         assert!(error.starts_with(place), "{place}: {error}\n{text}");
