Change a budget's whole at SIGHUP; the module's spending and a lowered whole as tests

The divider could take other wholes but nothing reached it: SIGHUP now does, and a lower whole holds one share's time later (a test by fed time, also for zero).

--- a/crates/fleet/tests/budget.rs
+++ b/crates/fleet/tests/budget.rs
@@ -321,3 +321,26 @@
     assert_eq!(Whole { floor_burst: 20_000, ..WHOLE }.check(DRIFT).unwrap_err().0, "floor_burst");
     assert_eq!(Whole { rate: 0, floor: 0, ..WHOLE }.divided(DRIFT), 0);
 }
+
+/// A whole that operators lower holds one share's time later, and one set to zero leaves the floors alone.
+#[test]
+fn a_whole_that_is_lowered_is_reached_within_one_share() {
+    let mut world = World::new(Without::Nothing);
+    let turn = |world: &mut World, times: usize| {
+        for _ in 0..times {
+            world.now += LENGTH / 4;
+            (0..NODES).for_each(|node| world.ask(node, 50_000));
+            while let Some(item) = world.wire.pop() {
+                world.deliver(item);
+            }
+        }
+        (0..NODES).map(|n| world.nodes[n].1.share("b", world.node_now()).0).sum::<u64>()
+    };
+    assert!(turn(&mut world, 8) > 70_000);
+    for rate in [30_000, 8_000 * 11 / 10, 0] {
+        let floor = if rate == 0 { 0 } else { WHOLE.floor };
+        let whole = Whole { rate, floor, ..WHOLE };
+        world.divider.set([("b".to_string(), whole)].into());
+        assert!(turn(&mut world, 5) <= whole.divided(DRIFT), "{rate}");
+    }
+}
--- a/src/transport/fleet/budgets.rs
+++ b/src/transport/fleet/budgets.rs
@@ -38,6 +38,8 @@
 /// What this node knows of budgets.
 #[derive(Default)]
 pub(super) struct Divided {
+    /// In force; a file read again changes the wholes.
+    settings: RefCell<Option<Budgets>>,
     shares: RefCell<Option<Shares>>,
     divider: RefCell<Option<Divider>>,
     wanted: Cell<[f64; 2]>,
@@ -47,12 +49,14 @@
 impl Fleet {
     /// Keeps this node's shares, and divides while it holds the lease.
     pub(super) async fn divide(self: Rc<Self>, budgets: Budgets) {
+        self.budgets.settings.replace(Some(budgets.clone()));
         let (me, drift) = (self.node.borrow().me(), self.place.node.drift);
         self.budgets.shares.replace(Some(Shares::new(me, drift)));
         self.node.borrow_mut().want(TASK, self.clock.now());
         self.wake.notify_one();
         let step = Duration::from_micros(budgets.share) / QUESTIONS;
         loop {
+            let Some(budgets) = self.budgets.settings.borrow().clone() else { return };
             // Floors hold from the first moment, whoever divides.
             self.allow(&budgets).await;
             self.take_charge(&budgets);
@@ -70,6 +74,17 @@
         }
     }
 
+    /// Other wholes from now on, where there are budgets at all. What was given stays given until it runs out, so a
+    /// lower whole holds one share's time after the node that divides has read it.
+    pub(super) fn set_wholes(&self, new: &Budgets) {
+        if let Some(budgets) = &mut *self.budgets.settings.borrow_mut() {
+            budgets.wholes.clone_from(&new.wholes);
+        }
+        if let Some(divider) = &mut *self.budgets.divider.borrow_mut() {
+            divider.set(new.wholes.clone());
+        }
+    }
+
     fn take_charge(&self, budgets: &Budgets) {
         let epoch = self.may_act(TASK);
         let mut divider = self.budgets.divider.borrow_mut();
@@ -86,8 +101,8 @@
 
     /// A message about it has come.
     pub(super) fn budgeting(self: &Rc<Self>, from: String, message: budget::Message) {
-        let Some(budgets) = &self.place.budgets else { return };
-        let now = self.clock.now();
+        let Some(budgets) = self.budgets.settings.borrow().clone() else { return };
+        let (now, budgets) = (self.clock.now(), &budgets);
         if let budget::Message::Ask { .. } = message {
             self.take_charge(budgets);
             // The look before the act: shares are given under the lease's epoch or not at all.
@@ -154,7 +169,8 @@
 
     /// For operators.
     pub(super) fn budget_status(&self) -> Value {
-        let Some(budgets) = &self.place.budgets else { return Value::Null };
+        let settings = self.budgets.settings.borrow();
+        let Some(budgets) = &*settings else { return Value::Null };
         let now = self.clock.now();
         let units = |thousandths: u64| thousandths as f64 / 1e3;
         let own = budgets.wholes.iter().map(|(name, whole)| {
--- a/src/transport/fleet/mod.rs
+++ b/src/transport/fleet/mod.rs
@@ -150,11 +150,15 @@
         Ok(fleet)
     }
 
-    /// Takes another list of keepers, if its number is higher. All else of `[fleet]` holds from the start to the end.
+    /// Takes other wholes of budgets, and another list of keepers if its number is higher. All else of `[fleet]` holds
+    /// from the start to the end.
     ///
     /// # Errors
     /// Names the key at fault; nothing has changed then.
     pub fn resettle(&self, place: &Place) -> Result<(), String> {
+        if let Some(budgets) = &place.budgets {
+            self.set_wholes(budgets);
+        }
         let (node, number) = (&place.node, self.node.borrow().keepers_number());
         if node.keepers_number <= number {
             return match node.keepers_number == number && node.keepers != self.node.borrow().keepers() {
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1371,3 +1371,44 @@
         assert!((2..=13).contains(&light), "{absurd}: {light} of 15");
     }
 }
+
+fn budget(rate: f64, burst: f64, floor: f64, floor_burst: f64, until: Seconds) -> Budget {
+    Budget { rate, burst, floor, floor_burst, until }
+}
+
+/// Retries that the module makes of so many failing requests, one each tenth of a second.
+fn retries(rig: &mut Rig, from: u64, count: u64) -> usize {
+    let mut made = 0;
+    for n in from..from + count {
+        rig.wait(0.1);
+        assert_eq!(sends(&rig.tell(Event::Arrived(request(n, 0, 0, 30.0)))).len(), 1);
+        // "Full" ejects nobody and may be tried elsewhere.
+        let again = rig.end(n, 0, Outcome::Full, false);
+        made += sends(&again).len();
+        match sends(&again).is_empty() {
+            true => assert_eq!(answers(&again), [n]),
+            false => drop(rig.end(n, 1, Outcome::Served, true)),
+        }
+    }
+    made
+}
+
+#[test]
+fn retries_are_spent_out_of_the_fleets_budget_and_the_rest_is_answered_at_once() {
+    let rig = |allowed: Option<Budget>| {
+        let mut rig = Rig::new(settings(), 40);
+        rig.brain.allow(Allowed { retries: allowed, copies: None });
+        rig
+    };
+    assert_eq!(retries(&mut rig(None), 1, 20), 20);
+    assert_eq!(retries(&mut rig(Some(budget(0.0, 0.0, 0.0, 0.0, 1e9))), 1, 20), 0);
+    // Two seconds at two a second, from an empty bucket, floor and share together.
+    let made = retries(&mut rig(Some(budget(1.5, 1.0, 0.5, 1.0, 1e9))), 1, 20);
+    assert!((3..=4).contains(&made), "{made}");
+    // A share that is over leaves the floor, and what had been saved beyond it is gone.
+    let mut late = rig(Some(budget(100.0, 100.0, 0.5, 1.0, 101.0)));
+    late.wait(5.0);
+    let made = retries(&mut late, 1, 20);
+    assert!((1..=2).contains(&made), "{made}");
+    assert_eq!(late.brain.wanted()[0], 20);
+}
