--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1402,6 +1402,9 @@
     };
     assert_eq!(retries(&mut rig(None), 1, 20), 20);
     assert_eq!(retries(&mut rig(Some(budget(0.0, 0.0, 0.0, 0.0, 1e9))), 1, 20), 0);
+    // The floor alone.
+    let made = retries(&mut rig(Some(budget(0.0, 0.0, 1.0, 1.0, 0.0))), 1, 20);
+    assert!((1..=2).contains(&made), "{made}");
     // Two seconds at two a second, from an empty bucket, floor and share together.
     let made = retries(&mut rig(Some(budget(1.5, 1.0, 0.5, 1.0, 1e9))), 1, 20);
     assert!((3..=4).contains(&made), "{made}");
