--- a/crates/lab/src/breaks/faults.rs
+++ b/crates/lab/src/breaks/faults.rs
@@ -36,10 +36,12 @@
     Split,
     /// All links lose, delay, repeat and reorder.
     Weather,
+    /// What the holder sends to what it acts upon arrives three leases later, and it is killed meanwhile.
+    LateAct,
 }
 
 impl Kind {
-    const ALL: [Kind; 14] = [
+    const ALL: [Kind; 15] = [
         Kind::KillHolder,
         Kind::KillNode,
         Kind::KillKeeper,
@@ -54,6 +56,7 @@
         Kind::CutHolder,
         Kind::Split,
         Kind::Weather,
+        Kind::LateAct,
     ];
 }
 
--- a/crates/lab/src/breaks/fleet.rs
+++ b/crates/lab/src/breaks/fleet.rs
@@ -64,6 +64,8 @@
     processes: RefCell<Vec<Option<Process>>>,
     /// By sender and receiver.
     links: BTreeMap<(usize, usize), Relay>,
+    /// From each node to what it acts upon.
+    acts: Vec<Relay>,
     admins: Vec<SocketAddr>,
     _discovery: Discovery,
     models: Vec<Model>,
@@ -134,6 +136,10 @@
                 links.insert((from, to), Relay::start(addrs[to], rng.random()).await?);
             }
         }
+        let mut acts = Vec::new();
+        for _ in 0..shape.nodes {
+            acts.push(Relay::start(collector, rng.random()).await?);
+        }
         // The nodes take these ports now.
         drop(held);
         let mut starts = Vec::new();
@@ -149,13 +155,14 @@
             let text = format!(
                 "[fleet]\nname = \"lab\"\nlisten = \"{}\"\nfolder = {:?}\nlease = \"{}ms\"\ndrift = {}\n\
                  probe = \"200ms\"\npatience = \"100ms\"\n[fleet.keepers]\n{}\n[fleet.via]\n{}\n\
-                 [fleet.report]\nto = \"{collector}\"\nevery = \"{}ms\"\n{}",
+                 [fleet.report]\nto = \"{}\"\nevery = \"{}ms\"\n{}",
                 addrs[me],
                 path("disk").display().to_string(),
                 shape.lease.as_millis(),
                 shape.drift,
                 keepers.join("\n"),
                 via.join("\n"),
+                acts[me].addr,
                 shape.every.as_millis(),
                 shape.more,
             );
@@ -187,6 +194,7 @@
             starts,
             processes: RefCell::new((0..shape.nodes).map(|_| None).collect()),
             links,
+            acts,
             admins,
             _discovery: discovery,
             models,
@@ -314,6 +322,14 @@
                 self.set(|from, to| side(from) != side(to), cut);
                 tokio::time::sleep(span).await;
             }
+            Kind::LateAct => {
+                let late = self.shape.lease * 3;
+                self.acts[holder].set(Weather { delay: late, ..Weather::default() });
+                // Long enough for an act to be on its way, too short for an answer to any.
+                tokio::time::sleep(self.shape.every * 3 + self.shape.lease / 10).await;
+                self.acts[holder].set(Weather::default());
+                self.down(&[holder], late).await?;
+            }
             Kind::Weather => {
                 let delay = self.shape.lease.mul_f64(fault.size);
                 let weather = Weather { cut: false, loss: fault.size / 2.0, repeat: 0.3, delay };
--- a/crates/lab/src/breaks/relay.rs
+++ b/crates/lab/src/breaks/relay.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::copy;
+use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::{spawn_local, JoinHandle};
 
@@ -134,7 +134,9 @@
         spawn_local(async move {
             tokio::time::sleep(delay).await;
             if let Ok(mut stream) = TcpStream::connect(to).await {
-                let _ = tokio::time::timeout(Duration::from_secs(5), copy(&mut from, &mut stream)).await;
+                let _ =
+                    tokio::time::timeout(Duration::from_secs(5), copy_bidirectional(&mut from, &mut stream))
+                        .await;
             }
             open.set(open.get() - 1);
         });
--- a/crates/lab/tests/breaks.rs
+++ b/crates/lab/tests/breaks.rs
@@ -39,6 +39,18 @@
     assert!(found.good(), "{:?} {:?}", found.verdict.overlaps, found.wrong);
 }
 
+/// The holder looked, and what it sent is still on its way when another holds the task: what is acted upon refuses it,
+/// and without the look at epochs there it would be taken.
+#[test]
+fn an_act_that_comes_late_is_refused_by_its_epoch_alone() {
+    let late = |fence| Wanted { fence, ..wanted(6, 2, &[Kind::LateAct]) };
+    let found = play("late", &late(true));
+    assert!(found.good() && found.verdict.refused > 0, "{:?} {:?}", found.verdict.overlaps, found.wrong);
+    let without = play("late-unfenced", &late(false));
+    let _ = std::fs::remove_dir_all(folder("late-unfenced"));
+    assert!(!without.verdict.overlaps.is_empty());
+}
+
 /// Clocks that run far more wrong than the nodes were told break the guarantee, and the stand-in's record shows it: the
 /// verdict can fail.
 #[test]
