Wait out longer leases of before where a keeper's file now says shorter ones

A keeper that starts waited one lease of the length in its file: made shorter by operators in between, it could grant while a longer one of before was held. It now waits for the longest that its disk holds; a test fails without it.

--- a/crates/fleet/src/lease/keeper.rs
+++ b/crates/fleet/src/lease/keeper.rs
@@ -163,7 +163,9 @@
     /// The wait runs from here and not from its start: where it takes another keeper's place, that one may have
     /// granted until those that answered went over to the new list.
     fn counts_from_here(&mut self, now: Micros) -> Option<Record> {
-        self.standing = Standing::Waiting(now.saturating_add(self.rules.longest));
+        // Leases may have been longer before operators changed them.
+        let granted = self.table.values().map(|g| g.length).max().unwrap_or(0);
+        self.standing = Standing::Waiting(now.saturating_add(self.rules.longest.max(granted)));
         let founders = self.founders.iter().copied().collect();
         std::mem::take(&mut self.blank).then_some(Record::Whole(founders))
     }
--- a/crates/fleet/tests/keepers.rs
+++ b/crates/fleet/tests/keepers.rs
@@ -237,3 +237,14 @@
     println!("held after {} ms, {number} messages", took / 1000);
     assert!(took < 3 * LONGEST, "{took}");
 }
+
+/// A keeper that comes back with shorter leases in its file still waits for the longer ones that it had granted.
+#[test]
+fn leases_made_shorter_do_not_shorten_the_wait_for_those_granted_before() {
+    let mut table = Table::in_service(3, false);
+    assert!(granted(table.tell(0, LONGEST, ask(&who("a", 1), 1, 1))));
+    let shorter = Rules { longest: LONGEST / 10, ..rules(0, 3, false) };
+    table.keepers[0] = Keeper::new(shorter, 9, &table.disks[0], LONGEST + 1);
+    table.settle(LONGEST + 1);
+    assert_eq!(*table.keepers[0].standing(), Standing::Waiting(2 * LONGEST + 1));
+}
