Take out four calls of the fleet and the store that nobody made

The keeper's disk keeps the newest records itself, so the compaction's way through the node, the log's way back to its disk and a claim's flag had no caller.

--- a/crates/fleet/src/lease/claim.rs
+++ b/crates/fleet/src/lease/claim.rs
@@ -206,11 +206,6 @@
         }
     }
 
-    /// Whether it is asked for.
-    pub fn wanted(&self) -> bool {
-        self.wanted
-    }
-
     fn ask(&mut self, now: Micros) -> Option<ToKeeper> {
         // Never under an epoch asked under before: what that round left behind must not count for this one.
         self.epoch = self.known.max(self.epoch) + 1;
--- a/crates/fleet/src/lease/keeper.rs
+++ b/crates/fleet/src/lease/keeper.rs
@@ -287,14 +287,4 @@
             Row { task: task.clone(), epoch: g.epoch, holder, left }
         })
     }
-
-    /// All that a compaction keeps.
-    pub fn records(&self) -> Vec<Record> {
-        let entry = |(task, g): (&String, &Grant)| {
-            let (task, holder) = (task.clone(), g.holder.clone());
-            Record::Entry(Entry { task, epoch: g.epoch, holder, length: g.length })
-        };
-        let whole = (!self.blank).then(|| Record::Whole(self.founders.iter().copied().collect()));
-        self.table.iter().map(entry).chain(whole).collect()
-    }
 }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -360,11 +360,6 @@
         }
     }
 
-    /// All that a keeper's disk must hold, for a compaction.
-    pub fn records(&self) -> Vec<Record> {
-        self.kept.as_ref().map(|kept| kept.keeper.records()).unwrap_or_default()
-    }
-
     /// What has been counted.
     pub fn counts(&self) -> Counts {
         self.counts
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -163,11 +163,6 @@
         self.size
     }
 
-    /// Gives the disk back.
-    pub fn into_disk(self) -> D {
-        self.disk
-    }
-
     fn begin(&mut self, kept: &[Vec<u8>]) -> Result<(), Fault> {
         let mut bytes = record::head().to_vec();
         for payload in kept {
