Drop answers meant for another process of a node's name, for leases and shares

Cause: keepers' answers and shares travel by a node's name, and carried the asker's round, epoch or number but not who asked. Two processes of one name (or one just restarted) count rounds alike, so a grant to the one counted for the other: a claim could hold a task by a majority that was not its own, and a node could spend a share given to the process before it. Seen: a generated test of two processes of one name with answers that go astray: '1 holds by [{0}, {2}]' after two messages. The budget's own test had hidden it: its wire dropped answers to earlier incarnations, which the real one does not. Ruled out: names in the checker's model, where answers go to a claim by number. At fault: Claim::heard and Shares::told, which looked at round and number alone.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -103,6 +103,8 @@
     Hello(u64),
     /// A share, in place of the one before.
     Share {
+        /// Who asked, by its incarnation: messages go by name, and two processes of one name count alike.
+        who: u64,
         /// The divider's epoch.
         epoch: u64,
         /// One higher with each share that it gives.
@@ -259,6 +261,7 @@
             known.given.push(given);
         }
         Some(Message::Share {
+            who: who.incarnation,
             epoch: self.epoch,
             share: self.shares,
             number,
@@ -339,7 +342,8 @@
                 self.epoch = self.epoch.max(*epoch);
                 newer
             }
-            Message::Share { epoch, share, number, length, rates } => {
+            Message::Share { who, .. } if *who != self.me.incarnation => false,
+            Message::Share { epoch, share, number, length, rates, .. } => {
                 let asked = self.asked.iter().find(|a| a.0 == *number).map(|a| a.1);
                 let newer = self.current.as_ref().is_none_or(|c| c.id < (*epoch, *share));
                 let Some(asked) = asked.filter(|_| newer && *epoch >= self.epoch) else { return false };
--- a/crates/fleet/src/lease/claim.rs
+++ b/crates/fleet/src/lease/claim.rs
@@ -155,6 +155,10 @@
 
     /// Takes a keeper's answer.
     pub fn heard(&mut self, now: Micros, keeper: usize, answer: &ToNode, jitter: u64) -> Vec<ToKeeper> {
+        if answer.who() != self.me.incarnation {
+            // It answers another process of this name, or the one that was here before.
+            return Vec::new();
+        }
         let (number, granted) = match answer {
             ToNode::Granted { round, epoch, .. } => (*round, *epoch == self.epoch),
             ToNode::Refused { round, .. } => (*round, false),
--- a/crates/fleet/src/lease/keeper.rs
+++ b/crates/fleet/src/lease/keeper.rs
@@ -256,6 +256,7 @@
         let known = self.table.get(&task);
         let refused = |known: Option<&Grant>| ToNode::Refused {
             task: task.clone(),
+            who: who.incarnation,
             round,
             epoch: known.map_or(0, |g| g.epoch),
             holder: known.and_then(|g| g.holder.clone()),
@@ -274,9 +275,10 @@
         let until = now.saturating_add(length);
         let until = if again { until.max(known.map_or(0, |g| g.until)) } else { until };
         let entry = Entry { task: task.clone(), epoch, holder: Some(who.clone()), length };
+        let asked = who.incarnation;
         self.table.insert(task.clone(), Grant { epoch, holder: Some(who), length, until });
         let write = if lasting { Vec::new() } else { vec![Record::Entry(entry)] };
-        Done { write, answer: Some(ToNode::Granted { task, round, epoch }), memory: None }
+        Done { write, answer: Some(ToNode::Granted { task, who: asked, round, epoch }), memory: None }
     }
 
     /// The table.
--- a/crates/fleet/src/lease/messages.rs
+++ b/crates/fleet/src/lease/messages.rs
@@ -61,6 +61,15 @@
     },
 }
 
+impl ToNode {
+    /// Whom it is for, by its incarnation.
+    pub fn who(&self) -> u64 {
+        match self {
+            ToNode::Granted { who, .. } | ToNode::Refused { who, .. } => *who,
+        }
+    }
+}
+
 /// From a keeper to a node.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum ToNode {
@@ -68,6 +77,8 @@
     Granted {
         /// The task's name.
         task: String,
+        /// Who asked, by its incarnation: messages go by name, and two processes of one name count alike.
+        who: u64,
         /// As asked.
         round: u64,
         /// As asked.
@@ -77,6 +88,8 @@
     Refused {
         /// The task's name.
         task: String,
+        /// Who asked, by its incarnation.
+        who: u64,
         /// As asked.
         round: u64,
         /// The highest epoch that this keeper knows for the task.
--- a/crates/fleet/tests/budget.rs
+++ b/crates/fleet/tests/budget.rs
@@ -47,11 +47,11 @@
     ]
 }
 
-/// On its way to the divider from a node, or to a node of this incarnation.
+/// On its way to the divider from a node, or to whatever process has a node's name when it comes.
 #[derive(Clone, Debug)]
 enum Item {
     ToDivider(usize, Message),
-    ToNode(usize, u64, Message),
+    ToNode(usize, Message),
 }
 
 /// What is taken out.
@@ -66,6 +66,8 @@
     Shown,
     /// A node takes a share that comes again as another one on top.
     Again,
+    /// A node takes a share that was given to the process of its name before.
+    Name,
     /// The floor of nodes is not kept out of what is divided.
     Floor,
 }
@@ -135,10 +137,6 @@
     fn deliver(&mut self, item: Item) {
         match item {
             Item::ToDivider(node, message) => {
-                let incarnation = match &message {
-                    Message::Ask { who, .. } => who.incarnation,
-                    _ => 0,
-                };
                 let now = self.divider_now();
                 let message = match (self.without, message) {
                     // As if whatever was given last had been shown.
@@ -149,14 +147,18 @@
                     (_, message) => message,
                 };
                 if let Some(answer) = self.divider.asked(message, now) {
-                    self.wire.push(Item::ToNode(node, incarnation, answer));
+                    self.wire.push(Item::ToNode(node, answer));
                 }
             }
-            Item::ToNode(node, incarnation, message) => {
-                if self.nodes[node].0 != incarnation {
-                    return;
-                }
+            Item::ToNode(node, message) => {
                 let now = self.node_now();
+                let message = match (self.without, message) {
+                    (Without::Name, Message::Share { epoch, share, number, length, rates, .. }) => {
+                        let who = self.nodes[node].0;
+                        Message::Share { who, epoch, share, number, length, rates }
+                    }
+                    (_, message) => message,
+                };
                 let before = self.nodes[node].1.clone();
                 let again = self.nodes[node].1.told(&message, now);
                 if let (Without::Again, Message::Share { rates, .. }) = (self.without, &message) {
@@ -256,7 +258,8 @@
 fn each_safeguard_taken_out_is_found() {
     use proptest::strategy::ValueTree;
     use proptest::test_runner::{Config, RngSeed, TestRunner};
-    for without in [Without::Wait, Without::Drift, Without::Shown, Without::Again, Without::Floor] {
+    use Without::*;
+    for without in [Wait, Drift, Shown, Again, Name, Floor] {
         let mut runner = TestRunner::new(Config { rng_seed: RngSeed::Fixed(7), ..Config::default() });
         let steps = proptest::collection::vec(step(), 20..160);
         let found = (0..20_000).find(|_| {
--- a/crates/fleet/tests/keepers.rs
+++ b/crates/fleet/tests/keepers.rs
@@ -248,3 +248,32 @@
     table.settle(LONGEST + 1);
     assert_eq!(*table.keepers[0].standing(), Standing::Waiting(2 * LONGEST + 1));
 }
+
+proptest! {
+    /// Two processes of one name: whatever a keeper answers to one of them may come to the other, since messages go by
+    /// name, and both count their rounds and epochs alike. Never do both find that they may act, and never does one by
+    /// grants that were the other's.
+    #[test]
+    fn an_answer_to_the_other_process_of_ones_name_is_nobodys(
+        order in proptest::collection::vec((any::<bool>(), 0usize..3, any::<bool>()), 1..40),
+    ) {
+        let mut table = Table::in_service(3, false);
+        let terms = Terms { keepers: 3, length: LONGEST, drift: 1000, patience: 100_000, pause: 25_000 };
+        let mut claims = [1, 2].map(|n| Claim::new("t", who("n", n), terms, LONGEST));
+        let asks = [0, 1].map(|c| claims[c].turn(LONGEST, 0).remove(0));
+        let mut granted_to: [std::collections::BTreeSet<usize>; 2] = Default::default();
+        for (second, keeper, astray) in order {
+            let asker = usize::from(second);
+            let Some(answer) = table.tell(keeper, LONGEST, asks[asker].clone()) else { continue };
+            if granted(Some(answer.clone())) {
+                granted_to[asker].insert(keeper);
+            }
+            claims[asker ^ usize::from(astray)].heard(LONGEST, keeper, &answer, 0);
+            let held = [0, 1].map(|c| claims[c].may_act(LONGEST).is_some());
+            prop_assert!(!(held[0] && held[1]));
+            for c in 0..2 {
+                prop_assert!(!held[c] || granted_to[c].len() >= 2, "{c} holds by {granted_to:?}");
+            }
+        }
+    }
+}
