Break keepers' disks, stop a holder in mid-act, and start one name twice, between processes

Need: docs/leases.md named hard cases that no process test caused: a full disk and a failed sync under a running keeper, a stop of ten leases by a fixed script, one name twice. Four kinds of fault in the lab: stop-mid-act (the holder's act is in the relay while it is stopped, and arrives after it woke), full-disk, failed-sync (the holder is killed meanwhile, so that the keeper has to write), name-twice (a second process with its own memory and address; each datagram to the name reaches one of the two, as drawn; the holder is killed meanwhile). A test of the keeper's disk by itself: what was told durable is found again, a folder has one process, a log with a damaged middle is put aside. Rejected: a limit on file sizes (ends the process by a signal instead of an error) and a small mounted disk (root).

--- a/crates/lab/src/breaks/faults.rs
+++ b/crates/lab/src/breaks/faults.rs
@@ -38,10 +38,19 @@
     Weather,
     /// What the holder sends to what it acts upon arrives three leases later, and it is killed meanwhile.
     LateAct,
+    /// SIGSTOP of the holder while an act of its is under way, which arrives after it was woken.
+    StopMidAct,
+    /// A keeper's disk is full, and the holder is killed, so that there is something to write.
+    FullDisk,
+    /// The same with syncs that fail.
+    FailedSync,
+    /// A second process under a node's name, with a memory and an address of its own; messages to the name reach
+    /// one of the two.
+    NameTwice,
 }
 
 impl Kind {
-    const ALL: [Kind; 15] = [
+    const ALL: [Kind; 19] = [
         Kind::KillHolder,
         Kind::KillNode,
         Kind::KillKeeper,
@@ -57,6 +66,10 @@
         Kind::Split,
         Kind::Weather,
         Kind::LateAct,
+        Kind::StopMidAct,
+        Kind::FullDisk,
+        Kind::FailedSync,
+        Kind::NameTwice,
     ];
 }
 
--- a/crates/lab/src/breaks/fleet.rs
+++ b/crates/lab/src/breaks/fleet.rs
@@ -4,12 +4,13 @@
 use super::history::History;
 use super::process::{Process, Start};
 use super::relay::{lasting, Relay, Weather};
+use super::roll::call;
 use crate::emulator::description::Run;
 use crate::sockets::{config, Arrivals, Discovery, Entry, Model};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::json;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -71,6 +72,8 @@
     models: Vec<Model>,
     serving: Vec<SocketAddr>,
     arrivals: Arrivals,
+    /// Keepers that said that their disks had failed.
+    disks_failed: Cell<usize>,
 }
 
 fn copy(from: &Path, to: &Path) -> std::io::Result<()> {
@@ -175,7 +178,7 @@
             };
             let year = 365 * 86_400;
             let wall_s = if shape.walls { [0, 0, year, -year, 90][rng.random_range(0..5)] } else { 0 };
-            let (program, log) = (program.to_path_buf(), path("log"));
+            let (program, log, disk_orders) = (program.to_path_buf(), path("log"), path("orders"));
             starts.push(Start {
                 program,
                 config: json,
@@ -184,6 +187,7 @@
                 admin: admins[me].to_string(),
                 clock_ppm,
                 wall_s,
+                disk_orders,
             });
         }
         let folder = folder.to_path_buf();
@@ -200,6 +204,7 @@
             models,
             serving,
             arrivals,
+            disks_failed: Cell::new(0),
         };
         (0..shape.nodes).try_for_each(|me| fleet.begin(me))?;
         Ok(fleet)
@@ -291,10 +296,7 @@
             }
             Kind::StopHolder | Kind::StopKeeper => {
                 let whom = if fault.kind == Kind::StopHolder { holder } else { keeper };
-                let each = |act: fn(&Process)| self.processes.borrow()[whom].iter().for_each(act);
-                each(Process::stop);
-                tokio::time::sleep(span).await;
-                each(Process::wake);
+                self.stopped(whom, span).await;
             }
             Kind::OldDisk | Kind::EmptyDisk => {
                 self.kill(keeper).await;
@@ -330,6 +332,19 @@
                 self.acts[holder].set(Weather::default());
                 self.down(&[holder], late).await?;
             }
+            Kind::StopMidAct => {
+                let on_its_way = span + self.shape.lease / 2;
+                self.acts[holder].set(Weather { delay: on_its_way, ..Weather::default() });
+                tokio::time::sleep(self.shape.every * 3 + self.shape.lease / 10).await;
+                self.acts[holder].set(Weather::default());
+                self.stopped(holder, span).await;
+                tokio::time::sleep(self.shape.lease).await;
+            }
+            Kind::FullDisk | Kind::FailedSync => self.bad_disk(fault.kind, keeper, holder, span).await?,
+            Kind::NameTwice => {
+                let whose = if fault.size < 0.5 { holder } else { node };
+                self.twin(whose, holder, span.max(self.shape.lease * 2)).await?;
+            }
             Kind::Weather => {
                 let delay = self.shape.lease.mul_f64(fault.size);
                 let weather = Weather { cut: false, loss: fault.size / 2.0, repeat: 0.3, delay };
@@ -342,6 +357,74 @@
         Ok(())
     }
 
+    async fn stopped(&self, whom: usize, span: Duration) {
+        let each = |act: fn(&Process)| self.processes.borrow()[whom].iter().for_each(act);
+        each(Process::stop);
+        tokio::time::sleep(span).await;
+        each(Process::wake);
+    }
+
+    /// How many keepers have said that their disks had failed.
+    pub fn disks_failed(&self) -> usize {
+        self.disks_failed.get()
+    }
+
+    /// A keeper whose disk fails from now on, while another node has to be granted something.
+    async fn bad_disk(&self, kind: Kind, keeper: usize, holder: usize, span: Duration) -> Result<(), String> {
+        let keeper = if keeper == holder { (keeper + 1) % self.shape.keepers } else { keeper };
+        let orders = &self.starts[keeper].disk_orders;
+        let named = |e: std::io::Error| format!("{}: {e}", orders.display());
+        std::fs::write(orders, if kind == Kind::FullDisk { "full" } else { "sync" }).map_err(named)?;
+        self.down(&[holder], span.max(self.shape.lease * 3)).await?;
+        let figures = call(self.admins[keeper], "GET /api/telemetry").await.map(|found| found.1);
+        let failed = figures.is_some_and(|text| text.contains("app_fleet_keeper_disk_failed 1"));
+        self.history.add("disk", json!({"keeper": keeper, "failed": failed}));
+        self.disks_failed.set(self.disks_failed.get() + usize::from(failed));
+        std::fs::remove_file(orders).map_err(named)?;
+        // What staff do: mend the disk, start again.
+        self.down(&[keeper], Duration::ZERO).await?;
+        tokio::time::sleep(self.shape.lease * 2).await;
+        Ok(())
+    }
+
+    /// A second process under a node's name; the holder is killed meanwhile, so that all ask.
+    async fn twin(&self, whose: usize, holder: usize, span: Duration) -> Result<(), String> {
+        let (mut start, mut addrs) = (self.starts[whose].clone(), Vec::new());
+        for _ in 0..3 {
+            let pair = lasting().await.map_err(|e| format!("port: {e}"))?;
+            addrs.push(pair.0.local_addr().map_err(|e| format!("port: {e}"))?);
+        }
+        let [fleet, admin, serving] = addrs[..] else { return Err("port: none".into()) };
+        let own = self.links.iter().find(|(pair, _)| pair.1 == whose).map(|(_, link)| link.to);
+        let own = own.ok_or("a fleet of one has no twins")?;
+        let rewrite = |from: &Path, kind: &str, changes: &[(String, String)]| {
+            let to = self.folder.join(format!("twin-{whose}.{kind}"));
+            let text = std::fs::read_to_string(from).map_err(|e| format!("{}: {e}", from.display()))?;
+            let text = changes.iter().fold(text, |text, (from, to)| text.replace(from, to));
+            std::fs::write(&to, text).map_err(|e| format!("{}: {e}", to.display()))?;
+            Ok::<_, String>(to)
+        };
+        let disk = |path: PathBuf| format!("folder = {:?}", path.display().to_string());
+        let twin_disk = self.folder.join(format!("twin-{whose}.disk"));
+        let _ = std::fs::remove_dir_all(&twin_disk);
+        let listen = |addr: SocketAddr| format!("listen = \"{addr}\"");
+        let operator = [(listen(own), listen(fleet)), (disk(self.disk(whose)), disk(twin_disk))];
+        start.operator = rewrite(&start.operator, "toml", &operator)?;
+        let served = (self.serving[whose].to_string(), serving.to_string());
+        start.config = rewrite(&start.config, "json", &[served])?;
+        (start.log, start.admin) = (self.folder.join(format!("twin-{whose}.log")), admin.to_string());
+        self.history.add("twin", json!({"node": whose}));
+        let links = || self.links.iter().filter(|(pair, _)| pair.1 == whose);
+        links().for_each(|(_, link)| link.split(Some(fleet)));
+        let twin = Process::start(&start)?;
+        tokio::time::sleep(span / 2).await;
+        self.down(&[holder], span / 2).await?;
+        twin.kill().await;
+        links().for_each(|(_, link)| link.split(None));
+        self.history.add("twin gone", json!({"node": whose}));
+        Ok(())
+    }
+
     async fn down(&self, whom: &[usize], span: Duration) -> Result<(), String> {
         for me in whom {
             self.kill(*me).await;
--- a/crates/lab/src/breaks/leases.rs
+++ b/crates/lab/src/breaks/leases.rs
@@ -45,6 +45,8 @@
     pub without: Vec<Micros>,
     /// The most intervals between one report taken and the next, beyond the time that passed between them.
     pub slots_apart: u64,
+    /// Keepers that said that their disks had failed.
+    pub disks_failed: usize,
     /// Processes that ended by themselves, and rounds after which nobody held the task.
     pub wrong: Vec<String>,
 }
@@ -95,7 +97,8 @@
     let apart =
         |w: &[&super::Act]| w[1].slot.abs_diff(w[0].slot).abs_diff((w[1].at - w[0].at) / every.max(1));
     let slots_apart = taken.windows(2).map(apart).max().unwrap_or(0);
-    Ok(Found { verdict, rounds, without, slots_apart, wrong })
+    let disks_failed = fleet.disks_failed();
+    Ok(Found { verdict, rounds, without, slots_apart, disks_failed, wrong })
 }
 
 async fn held(collector: &Collector, history: &History, since: Micros, wait: Duration) -> Option<usize> {
--- a/crates/lab/src/breaks/process.rs
+++ b/crates/lab/src/breaks/process.rs
@@ -28,6 +28,8 @@
     pub clock_ppm: i64,
     /// By how much its wall clock is wrong, in seconds.
     pub wall_s: i64,
+    /// The file with orders to its disk.
+    pub disk_orders: PathBuf,
 }
 
 impl Process {
@@ -44,6 +46,7 @@
             .env("GW_ADMIN", &start.admin)
             .env("POPPYKEEL_TEST_CLOCK_PPM", start.clock_ppm.to_string())
             .env("POPPYKEEL_TEST_WALL_S", start.wall_s.to_string())
+            .env("POPPYKEEL_TEST_DISK", &start.disk_orders)
             // Also where the lab is killed, and where this one is stopped at that moment.
             .env("POPPYKEEL_TEST_WITH_PARENT", "1")
             .env_remove("GW_LISTEN")
--- a/crates/lab/src/breaks/relay.rs
+++ b/crates/lab/src/breaks/relay.rs
@@ -35,7 +35,10 @@
 pub struct Relay {
     /// Where its sender finds it.
     pub addr: SocketAddr,
+    /// Where what passes goes.
+    pub to: SocketAddr,
     weather: Rc<Cell<Weather>>,
+    twin: Rc<Cell<Option<SocketAddr>>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -46,15 +49,22 @@
         let (socket, listener) = both().await.map_err(named)?;
         let addr = socket.local_addr().map_err(named)?;
         let weather: Rc<Cell<Weather>> = Rc::default();
-        let datagrams = spawn_local(datagrams(Rc::new(socket), to, weather.clone(), seed));
+        let twin: Rc<Cell<Option<SocketAddr>>> = Rc::default();
+        let way = (to, twin.clone());
+        let datagrams = spawn_local(datagrams(Rc::new(socket), way, weather.clone(), seed));
         let connections = spawn_local(connections(listener, to, weather.clone()));
-        Ok(Relay { addr, weather, tasks: vec![datagrams, connections] })
+        Ok(Relay { addr, to, weather, twin, tasks: vec![datagrams, connections] })
     }
 
     /// From now on.
     pub fn set(&self, weather: Weather) {
         self.weather.set(weather);
     }
+
+    /// From now on every other datagram, as drawn, goes there: to a second process of the receiver's name.
+    pub fn split(&self, twin: Option<SocketAddr>) {
+        self.twin.set(twin);
+    }
 }
 
 impl Drop for Relay {
@@ -91,7 +101,9 @@
     Err(last)
 }
 
-async fn datagrams(socket: Rc<UdpSocket>, to: SocketAddr, weather: Rc<Cell<Weather>>, seed: u64) {
+type Way = (SocketAddr, Rc<Cell<Option<SocketAddr>>>);
+
+async fn datagrams(socket: Rc<UdpSocket>, way: Way, weather: Rc<Cell<Weather>>, seed: u64) {
     let rng = RefCell::new(Pcg64Mcg::seed_from_u64(seed));
     let held = Rc::new(Cell::new(0));
     let mut bytes = vec![0; 65_536];
@@ -102,6 +114,7 @@
             continue;
         }
         let times = if rng.random::<f64>() < w.repeat { 2 } else { 1 };
+        let to = way.1.get().filter(|_| rng.random()).unwrap_or(way.0);
         for _ in 0..times {
             let wait = w.delay.mul_f64(rng.random());
             if wait.is_zero() {
--- a/crates/lab/src/breaks/roll.rs
+++ b/crates/lab/src/breaks/roll.rs
@@ -59,7 +59,7 @@
 type Outs = Rc<RefCell<Vec<Out>>>;
 
 /// One call at an operators' address: the status and the body.
-async fn call(at: SocketAddr, line: &str) -> Option<(u16, String)> {
+pub(super) async fn call(at: SocketAddr, line: &str) -> Option<(u16, String)> {
     let asked = async {
         let mut stream = TcpStream::connect(at).await.ok()?;
         let text = format!("{line} HTTP/1.1\r\nHost: {at}\r\nContent-Length: 0\r\n\r\n");
--- a/crates/lab/tests/breaks.rs
+++ b/crates/lab/tests/breaks.rs
@@ -51,6 +51,44 @@
     assert!(!without.verdict.overlaps.is_empty());
 }
 
+/// A script of one kind of fault, for so long each, by these numbers for whom.
+fn script(kind: Kind, for_ms: u64, whom: &[u64]) -> Vec<Fault> {
+    whom.iter().map(|whom| Fault { kind, for_ms, whom: *whom, size: 0.4 }).collect()
+}
+
+/// Ten leases long, woken with an act of its own under way that comes half a lease later: refused by its epoch, and
+/// the woken one looks again before the next.
+#[test]
+fn a_holder_stopped_for_ten_leases_in_mid_act_does_no_harm() {
+    let lease = std::time::Duration::from_millis(500);
+    let shape = Shape { nodes: 5, lease, ..Shape::default() };
+    let script = script(Kind::StopMidAct, 5000, &[0, 1]);
+    let found = play("ten", &Wanted { shape, script, ..wanted(2, 0, &[]) });
+    assert!(found.good() && found.rounds == 2, "{:?} {:?}", found.verdict.overlaps, found.wrong);
+    assert!(found.verdict.refused >= 2, "{:?}", found.verdict);
+}
+
+/// A write that did not fit and a sync that failed, each at a keeper that has to grant something: it says so, answers
+/// nothing until it is started again with a sound disk, and the others go on.
+#[test]
+fn a_keeper_with_a_full_disk_or_a_failed_sync_grants_nothing_and_the_others_go_on() {
+    let full = script(Kind::FullDisk, 500, &[0]);
+    let script = [full, script(Kind::FailedSync, 500, &[1])].concat();
+    let found = play("bad-disk", &Wanted { script, ..wanted(3, 0, &[]) });
+    assert!(found.good() && found.rounds == 2, "{:?} {:?}", found.verdict.overlaps, found.wrong);
+    assert_eq!(found.disks_failed, 2);
+}
+
+/// Of the holder, of a keeper and of another node: messages to the name reach one of the two processes.
+#[test]
+fn two_processes_of_one_name_never_hold_by_each_others_grants() {
+    let mut script = script(Kind::NameTwice, 3000, &[0, 1, 7]);
+    script[1].size = 0.9;
+    script[2].size = 0.9;
+    let found = play("twice", &Wanted { script, ..wanted(4, 0, &[]) });
+    assert!(found.good() && found.rounds == 3, "{:?} {:?}", found.verdict.overlaps, found.wrong);
+}
+
 /// Clocks that run far more wrong than the nodes were told break the guarantee, and the stand-in's record shows it: the
 /// verdict can fail.
 #[test]
--- a/src/transport/fleet/disk.rs
+++ b/src/transport/fleet/disk.rs
@@ -1,7 +1,7 @@
 //! A keeper's disk: a thread of its own, so that no sync holds up the loop that routes.
 
 use poppykeel_fleet::lease::Record;
-use poppykeel_store::{Fault, Files, Log};
+use poppykeel_store::{Fault, Files, Log, Troubled};
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
@@ -12,6 +12,9 @@
 /// The log is compacted when it is this long.
 const COMPACT: u64 = 1 << 20;
 
+/// For tests alone: the file with orders to this process's disk.
+const ORDERS: &str = "POPPYKEEL_TEST_DISK";
+
 /// What the thread tells: all writes up to this number are durable, or why none will be any more.
 pub type Told = Result<u64, String>;
 
@@ -47,7 +50,11 @@
     /// Names the folder.
     pub fn open(folder: &Path, tell: mpsc::Sender<Told>) -> Result<(Disk, Vec<Record>), String> {
         let named = |e: &dyn std::fmt::Display| format!("fleet.folder: {}: {e}", folder.display());
-        let files = || Files::open(folder).map_err(|e| named(&e));
+        let orders = std::env::var_os(ORDERS).map(std::path::PathBuf::from);
+        let files = || {
+            let files = Files::open(folder).map_err(|e| named(&e))?;
+            Ok::<_, String>(Troubled::new(files, orders.clone()))
+        };
         let (log, kept) = match Log::open(files()?) {
             Ok(open) => open,
             Err(Fault::Rotten { file, at }) => {
@@ -81,7 +88,7 @@
 }
 
 fn write(
-    mut log: Log<Files>,
+    mut log: Log<Troubled>,
     mut newest: Newest,
     from: &Receiver<(u64, Vec<Record>)>,
     tell: &mpsc::Sender<Told>,
@@ -108,3 +115,52 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use poppykeel_fleet::lease::{Entry, Holder};
+
+    fn entry(epoch: u64) -> Record {
+        let holder = Some(Holder { node: "n1".into(), incarnation: 7 });
+        Record::Entry(Entry { task: "t".into(), epoch, holder, length: 5 })
+    }
+
+    fn files(folder: &Path, ending: &str) -> Vec<std::path::PathBuf> {
+        let all = std::fs::read_dir(folder).unwrap().map(|e| e.unwrap().path());
+        all.filter(|p| p.extension().is_some_and(|e| e == ending)).collect()
+    }
+
+    /// What was told durable is there again; two processes never share the folder; a log with a damaged middle is put
+    /// aside, and the keeper begins with no memory.
+    #[test]
+    fn what_was_told_durable_is_found_again_and_a_damaged_log_is_put_aside() {
+        let folder = std::env::temp_dir().join(format!("keeper-disk-{}", std::process::id()));
+        let open = || {
+            let (tell, told) = mpsc::channel(WAITING);
+            Disk::open(&folder, tell).map(|(disk, kept)| (disk, kept, told))
+        };
+        let (disk, kept, mut told) = open().unwrap();
+        assert!(kept.is_empty());
+        assert!((1..=9).all(|n| disk.write(n, vec![entry(n)])));
+        while told.blocking_recv().unwrap().unwrap() < 9 {}
+        let error = open().err().unwrap();
+        assert!(error.contains("fleet.folder") && error.contains("another process"), "{error}");
+        drop(disk);
+        // Its thread ends, and with it the lock, once nobody can write any more.
+        assert!(told.blocking_recv().is_none());
+        let (disk, kept, mut told) = open().unwrap();
+        assert_eq!(kept, [entry(9)]);
+        drop(disk);
+        assert!(told.blocking_recv().is_none());
+        let log = files(&folder, "log").remove(0);
+        let mut bytes = std::fs::read(&log).unwrap();
+        let middle = bytes.len() / 2;
+        bytes[middle] ^= 1;
+        std::fs::write(&log, bytes).unwrap();
+        let (_, kept, _) = open().unwrap();
+        assert!(kept.is_empty());
+        assert_eq!(files(&folder, "rotten").len(), 1);
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+}
