Spend probes, cold work, crossings, calls and tenants' rates out of budgets of the fleet

Need: budgets knew retries and second copies alone; a limit set for each node is too little for the one that needs it or, times the nodes, too much for the servers. The operators also want an account of traffic between zones. Change: the module is told what it may spend by what it is spent on (Spend), and tells what it has wanted with what that was worth, so that divisions go by worth. Probes that have no unit are left out; replicas of other zones are no candidates without a unit of crossings, and classes of less than the highest worth leave half of what is saved up to that; a cold replica's credit is filled by the fleet's rate for one cold server; a tenant's requests within its share are those that its budget bears; the watch waits with a call until one is there. Attempts written whole to another zone are counted by minute, class and tenant (GET /api/crossings, poppykeel fleet crossings, the fleet's report). Rejected: dropping probes and crossings in the core behind the module's back: it would then wait for answers to what was never sent.

--- a/crates/fleet/src/envelope.rs
+++ b/crates/fleet/src/envelope.rs
@@ -39,6 +39,8 @@
 pub struct Figures {
     /// By class.
     pub replies: Vec<(String, Totals)>,
+    /// Attempts that went to another zone, by class and tenant.
+    pub crossings: Vec<(String, String, u64)>,
     /// Attempts written whole to replicas.
     pub dispatches: u64,
     /// Requests taken and not ended.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,6 +54,8 @@
 const OVERDUE: f64 = 2.5;
 /// ... and a second copy then goes out, for at most this part of all sends.
 const COPIES: f64 = 0.1;
+/// Of crossings saved up, this part is kept for the class of the highest worth.
+const CROSSINGS_KEPT: f64 = 0.5;
 /// An allowance may be saved up to so many requests, or a second's: its even part may be less than one.
 const SHARE_DEPTH: f64 = 8.0;
 /// An even part is widened by this, since the front does not spread clients evenly over routers and zones.
@@ -147,12 +149,7 @@
         let worth = if self.within_share(tenant) { worth } else { worth * self.settings.over_share_worth };
         let tier = self.backlog.tier_of(worth);
         let cost = (arrival.prompt_tokens + arrival.answer_limit).max(1) as f64;
-        let cost = self.learned.hinted(cost, arrival.expected_work, LEARN);
-        if self.arrivals == 0 {
-            self.learned.begin(&self.settings.classes[arrival.class], arrival.answer_limit, cost);
-        }
-        self.learned.quantum += (cost - self.learned.quantum) * LEARN;
-        self.arrivals += 1;
+        let cost = self.count_arrival(&arrival, cost);
         let key = (micros(deadline), self.arrivals);
         let arrival = Arrival { tenant, time_left, ..arrival };
         let request = Request::new(arrival, key, tier, cost, aim, deadline, useful_until);
@@ -183,7 +180,8 @@
         let lacking = probes && (inline || from == ReportSource::Probes);
         let due = |r: &Replica| r.next_probe.max(r.reported_at + PROBE_EVERY);
         let stale = |id: &ReplicaId| lacking && self.now >= due(&self.replicas[id]);
-        let asked: Vec<ReplicaId> = self.homes(arrival).into_iter().filter(stale).collect();
+        let mut asked: Vec<ReplicaId> = self.homes(arrival).into_iter().filter(stale).collect();
+        asked.retain(|_| self.spending.take(self.now, Spend::Probes, 0.0));
         for replica in asked.iter().copied() {
             let asked = |r: &mut Replica| (r.asked, r.next_probe) = (true, self.now + PROBE_EVERY);
             self.replicas.entry(replica).and_modify(asked);
@@ -194,8 +192,11 @@
 
     fn within_share(&mut self, tenant: usize) -> bool {
         let part = |t: &Tenant| t.allowance * SHARE_SLACK / self.settings.routers as f64;
-        let rate = self.settings.tenants.get(tenant).map_or(f64::INFINITY, part);
-        self.allowances[tenant].take(self.now, rate, rate.max(SHARE_DEPTH))
+        let (fleet, tenants) = (Spend::Tenant(tenant), &self.settings.tenants);
+        let own = tenants.get(tenant).filter(|_| !self.spending.has(fleet));
+        let rate = own.map_or(f64::INFINITY, part);
+        let may = self.spending.take(self.now, fleet, 1.0);
+        may && self.allowances[tenant].take(self.now, rate, rate.max(SHARE_DEPTH))
     }
 
     /// How long round robin would take to come to this request: what it releases first over its rate.
@@ -300,7 +301,13 @@
     fn draw(&mut self, id: RequestId) -> Option<Attempt> {
         let request = &self.requests[&id];
         let pooled = self.pool_free(request.tier);
-        let open = |_: &ReplicaId, r: &Replica| self.has_room(r, pooled) && self.may_go(request, r);
+        // Classes of less than the highest worth leave a part of the fleet's budget of crossings to that.
+        let worth = self.settings.classes[request.arrival.class].worth;
+        let reserve = if worth < self.backlog.tiers[0].worth { CROSSINGS_KEPT } else { 0.0 };
+        let cross = self.spending.may(self.now, Spend::Crossings, reserve);
+        let open = |_: &ReplicaId, r: &Replica| {
+            self.has_room(r, pooled) && self.may_go(request, r) && (cross || r.zone == self.settings.zone)
+        };
         let new =
             |to: &ReplicaId, r: &Replica| open(to, r) && !request.attempts.iter().any(|a| a.replica == *to);
         let fit = |will_do: &dyn Fn(&ReplicaId, &Replica) -> bool| match self.pool.rare > 1.0 {
@@ -321,6 +328,10 @@
                 chosen = Some(attempt);
             }
         }
+        if chosen.is_none() && !cross {
+            // It looks again each tick: so long a wait counts as one crossing wanted.
+            self.spending.want(Spend::Crossings, TICK, worth);
+        }
         chosen
     }
 
@@ -344,6 +355,7 @@
         out.push(Action::Send { request: id, replica, timeout: request.deadline - self.now });
         self.learned.released.add(self.now, request.cost);
         self.learned.sent.add(self.now, 1.0);
+        self.count_send(id, replica);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
         r.sent(unread, self.now, OVERDUE * estimate);
         if Self::ejected(r) {
@@ -400,16 +412,7 @@
         let may_have_run = !matches!(outcome, Full | ConnectFailed | Moot | Rejected);
         let ended = self.requests.get_mut(&id).and_then(|r| r.end_attempt(attempt, may_have_run));
         let Some((replica, sent, unread)) = ended else { return };
-        // A report at an answer's end was made while the replica still held it.
-        self.take_report(replica, report);
-        if let Some(found) = report.and_then(|r| r.kept).filter(|_| outcome == Served) {
-            if let Some(request) = self.requests.get(&id) {
-                self.learned.found(&request.arrival, &request.attempts[attempt], found, LEARN / 2.0);
-            }
-        }
-        if let Some(r) = self.replicas.get_mut(&replica) {
-            (r.in_flight, r.own_unread) = (r.in_flight.saturating_sub(1), (r.own_unread - unread).max(0.0));
-        }
+        self.count_end((id, attempt), replica, unread, report, outcome == Served);
         match outcome {
             Outcome::Served => {
                 if let Some(r) = self.replicas.get_mut(&replica).filter(|r| r.broken > 0) {
@@ -448,7 +451,7 @@
             out.push(Action::Fail { request: id });
             self.close(id, out);
         } else if self.requests.get(&id).is_some_and(|r| !r.ended && !r.queued && r.out().next().is_none()) {
-            match self.may_repeat(&self.requests[&id]) && self.spending[0].take(self.now) {
+            match self.may_repeat(&self.requests[&id]) && self.spend(Spend::Retries, id) {
                 true => self.hold(id, true),
                 false => self.answer(id, out),
             }
@@ -487,12 +490,6 @@
         self.close(id, out);
     }
 
-    fn call_off(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let request = self.requests.get_mut(&id).filter(|_| self.settings.limits.cancel);
-        let called = request.map(Request::call_off).into_iter().flatten();
-        out.extend(called.map(|attempt| Action::Cancel { request: id, attempt }));
-    }
-
     fn tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Wake { after: TICK });
         if self.settings.discovery == Discovery::Asked && self.ask_at.is_some_and(|at| self.now >= at) {
@@ -517,12 +514,14 @@
             true => allowed / (self.pool.most_up.max(1) * self.settings.routers) as f64,
             false => self.learned.sent.get(self.now) / self.pool.warm.max(1) as f64,
         };
+        let rate = self.spending.rate(self.now, Spend::Cold).unwrap_or(rate);
         for (id, r) in &mut self.replicas {
             let credit = r.warmth(&self.settings.rules, self.now) * rate * TICK;
             r.cold_credit = (r.cold_credit + credit).min(credit);
             if r.silent_since.is_some() && self.settings.limits.probes && r.up && self.now >= r.next_probe {
                 r.next_probe = self.now + PROBE_EVERY;
-                out.push(Action::Probe { replica: *id });
+                let may = self.spending.take(self.now, Spend::Probes, 0.0);
+                out.extend(may.then_some(Action::Probe { replica: *id }));
             }
         }
         let unserved = self.requests.iter().filter(|(_, r)| !r.ended && !r.streaming());
@@ -555,7 +554,7 @@
         }
         let may = (stuck || copy) && !self.most_ejected && !request.queued && self.may_repeat(request);
         let part = COPIES * self.learned.sent.get(self.now);
-        if may && (stuck || self.copies.take(self.now, part, 1.0 + part)) && self.spend_copy() {
+        if may && (stuck || self.copies.take(self.now, part, 1.0 + part)) && self.spend_copy(id) {
             match self.settings.limits.second_copies {
                 true => self.hold(id, true),
                 false => self.call_off(id, out),
--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -24,8 +24,8 @@
     pub(super) ask_at: Option<Seconds>,
     /// Second copies that may still be sent.
     pub(super) copies: Allowance,
-    /// What the fleet allows: retries, and second copies.
-    pub(super) spending: [Spending; 2],
+    /// What the fleet allows.
+    pub(super) spending: Spendings,
 }
 
 impl Brain {
@@ -64,20 +64,73 @@
     }
 
     /// Counts a second copy where they are allowed at all; what is called off is counted as the retry that follows.
-    pub(super) fn spend_copy(&mut self) -> bool {
-        !self.settings.limits.second_copies || self.spending[1].take(self.now)
+    pub(super) fn spend_copy(&mut self, id: RequestId) -> bool {
+        !self.settings.limits.second_copies || self.spend(Spend::Copies, id)
+    }
+
+    /// Counts a send against the fleet's budgets: what of it a cold replica would get, and a crossing.
+    pub(super) fn count_send(&mut self, id: RequestId, to: ReplicaId) {
+        let class = self.requests.get(&id).and_then(|r| self.settings.classes.get(r.arrival.class));
+        let worth = class.map_or(0.0, |c| c.worth);
+        self.spending.want(Spend::Cold, 1.0 / self.pool.most_up.max(1) as f64, worth);
+        if self.replicas.get(&to).is_some_and(|r| r.zone != self.settings.zone) {
+            self.spending.take(self.now, Spend::Crossings, worth);
+        }
+    }
+
+    /// Counts a request that has come, and learns from it what requests cost; its cost with what its hint adds.
+    pub(super) fn count_arrival(&mut self, arrival: &Arrival, cost: f64) -> f64 {
+        let cost = self.learned.hinted(cost, arrival.expected_work, LEARN);
+        if self.arrivals == 0 {
+            self.learned.begin(&self.settings.classes[arrival.class], arrival.answer_limit, cost);
+        }
+        self.learned.quantum += (cost - self.learned.quantum) * LEARN;
+        self.arrivals += 1;
+        cost
+    }
+
+    /// Takes an attempt's end out of what its replica has, and learns from its report.
+    pub(super) fn count_end(
+        &mut self,
+        (id, attempt): (RequestId, usize),
+        replica: ReplicaId,
+        unread: f64,
+        report: Option<Report>,
+        served: bool,
+    ) {
+        // A report at an answer's end was made while the replica still held it.
+        self.take_report(replica, report);
+        if let Some(found) = report.and_then(|r| r.kept).filter(|_| served) {
+            if let Some(request) = self.requests.get(&id) {
+                self.learned.found(&request.arrival, &request.attempts[attempt], found, LEARN / 2.0);
+            }
+        }
+        if let Some(r) = self.replicas.get_mut(&replica) {
+            (r.in_flight, r.own_unread) = (r.in_flight.saturating_sub(1), (r.own_unread - unread).max(0.0));
+        }
+    }
+
+    /// Calls off what a request still has out, where that is possible.
+    pub(super) fn call_off(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let request = self.requests.get_mut(&id).filter(|_| self.settings.limits.cancel);
+        let called = request.map(Request::call_off).into_iter().flatten();
+        out.extend(called.map(|attempt| Action::Cancel { request: id, attempt }));
+    }
+
+    /// Takes a unit of a budget of the fleet for a request.
+    pub(super) fn spend(&mut self, what: Spend, id: RequestId) -> bool {
+        let class = self.requests.get(&id).and_then(|r| self.settings.classes.get(r.arrival.class));
+        self.spending.take(self.now, what, class.map_or(0.0, |c| c.worth))
     }
 
     /// What the fleet allows from now on.
-    pub fn allow(&mut self, allowed: Allowed) {
-        let [retries, copies] = &mut self.spending;
-        retries.set(self.now, allowed.retries);
-        copies.set(self.now, allowed.copies);
+    pub fn allow(&mut self, allowed: &Allowed) {
+        self.spending.set(self.now, allowed);
     }
 
-    /// How many retries and second copies have been wanted since the start, where the fleet has a budget for them.
-    pub fn wanted(&self) -> [u64; 2] {
-        [0, 1].map(|n| self.spending[n].wanted)
+    /// What has been wanted since the start of what the fleet has budgets for.
+    pub fn wanted(&self) -> BTreeMap<Spend, Wanted> {
+        self.spending.wanted()
     }
 
     /// Each listed replica: whether it gets trials only, and when its last answer came, if nothing has failed since.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,6 +3,7 @@
 //! Nothing here decides anything and nothing here knows a wire format. Times are seconds on one clock that
 //! never runs backwards; classes, tenants, zones and cells are positions counted from zero.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// A point in time or a span, in seconds.
@@ -241,13 +242,35 @@
     pub until: Seconds,
 }
 
-/// What the fleet allows beyond first tries; where there is no budget the router's own limits alone hold.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Allowed {
+/// What a budget of the whole fleet is spent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Spend {
     /// Attempts after a request's first.
-    pub retries: Option<Budget>,
+    Retries,
     /// Second copies of requests that are overdue.
-    pub copies: Option<Budget>,
+    Copies,
+    /// Questions to replicas how they are.
+    Probes,
+    /// Sends to replicas of other zones.
+    Crossings,
+    /// Sends to each replica that is cold: the budget is that of one.
+    Cold,
+    /// Calls for the list of replicas.
+    Discovery,
+    /// Requests of a tenant that count as within its share.
+    Tenant(usize),
+}
+
+/// What the fleet allows; where there is no budget the router's own limits alone hold.
+pub type Allowed = BTreeMap<Spend, Budget>;
+
+/// What has been wanted of a budget since the start, got or not.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Wanted {
+    /// Units.
+    pub units: f64,
+    /// What they were worth together.
+    pub worth: f64,
 }
 
 /// How an attempt or a probe ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,3 +79,4 @@
 pub mod wire;
 
 pub use brain::Brain;
+pub use state::Spendings;
--- a/src/program/config/fleet.rs
+++ b/src/program/config/fleet.rs
@@ -1,9 +1,9 @@
 //! `[fleet]` of the operators' file: what this node has to do with the others.
 
 use super::operator::Span;
-use crate::transport::fleet::budgets::{self as transport, COPIES, RETRIES};
+use crate::transport::fleet::budgets::{self as transport, TENANT};
 use crate::transport::fleet::{Place, Report};
-use poppykeel_fleet::budget::Whole;
+use poppykeel_fleet::budget::{self, Whole};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,6 +15,8 @@
 const MOST_DRIFT: u32 = 200_000;
 const LONGEST_LEASE: u64 = 600_000_000;
 const SHORTEST_LEASE: u64 = 100_000;
+/// Budgets are bounded in number, and most of them are tenants'.
+const MOST_TENANTS: usize = budget::MOST_BUDGETS - 8;
 
 /// What the file says of the fleet.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -56,6 +58,12 @@
     pub share: Span,
     pub retries: Option<Budget>,
     pub copies: Option<Budget>,
+    pub probes: Option<Budget>,
+    pub crossings: Option<Budget>,
+    pub cold: Option<Budget>,
+    pub discovery: Option<Budget>,
+    #[serde(default)]
+    pub tenants: BTreeMap<String, Budget>,
 }
 
 /// One of them.
@@ -74,9 +82,19 @@
         Span(2_000_000)
     }
 
-    fn all(&self) -> impl Iterator<Item = (&'static str, Budget)> {
-        let named = [(RETRIES, self.retries), (COPIES, self.copies)];
-        named.into_iter().filter_map(|(name, budget)| Some((name, budget?)))
+    /// Each by its name between nodes and its key in the file.
+    fn all(&self) -> impl Iterator<Item = (String, String, Budget)> + '_ {
+        let named = [
+            ("retries", self.retries),
+            ("copies", self.copies),
+            ("probes", self.probes),
+            ("crossings", self.crossings),
+            ("cold", self.cold),
+            ("discovery", self.discovery),
+        ];
+        let named = named.into_iter().filter_map(|(name, budget)| Some((name.into(), name.into(), budget?)));
+        let tenants = self.tenants.iter();
+        named.chain(tenants.map(|(name, b)| (format!("{TENANT}{name}"), format!("tenants.{name}"), *b)))
     }
 
     fn wholes(&self) -> BTreeMap<String, Whole> {
@@ -88,7 +106,7 @@
             floor_burst: thousandths(b.floor_burst),
             most_nodes: self.most_nodes,
         };
-        self.all().map(|(name, budget)| (name.to_string(), whole(budget))).collect()
+        self.all().map(|(name, _, budget)| (name, whole(budget))).collect()
     }
 
     fn check(&self, drift: u32) -> Result<(), (String, String)> {
@@ -99,7 +117,10 @@
         if !(200_000..=600_000_000).contains(&self.share.0) {
             return bad("share", "expected a time from 200ms to 10m");
         }
-        for (name, b) in self.all() {
+        if self.tenants.len() > MOST_TENANTS {
+            return bad("tenants", &format!("expected at most {MOST_TENANTS} tenants with budgets"));
+        }
+        for (_, name, b) in self.all() {
             for (key, value) in
                 [("rate", b.rate), ("burst", b.burst), ("floor", b.floor), ("floor_burst", b.floor_burst)]
             {
@@ -114,9 +135,10 @@
                 );
             }
         }
-        for (name, whole) in self.wholes() {
-            if let Err((key, what)) = whole.check(drift) {
-                return bad(&format!("{name}.{key}"), &what);
+        let wholes = self.wholes();
+        for (name, at, _) in self.all() {
+            if let Err((key, what)) = wholes[&name].check(drift) {
+                return bad(&format!("{at}.{key}"), &what);
             }
         }
         Ok(())
@@ -191,11 +213,18 @@
         Ok(())
     }
 
-    /// What the node of this name has to do.
+    /// What the node of this name has to do at a site with these tenants.
     ///
     /// # Errors
     /// Names the key that is missing for it.
-    pub fn place(&self, me: &str) -> Result<Place, String> {
+    pub fn place(&self, me: &str, tenants: &[String]) -> Result<Place, String> {
+        let budgeted = self.budgets.iter().flat_map(|b| b.tenants.keys());
+        if let Some(name) = budgeted.into_iter().find(|name| !tenants.contains(name)) {
+            let known = if tenants.is_empty() { "it has none".into() } else { tenants.join(", ") };
+            return Err(format!(
+                "fleet.budgets.tenants.{name}: expected a tenant of the site's settings ({known})"
+            ));
+        }
         if self.keepers.contains_key(me) && self.folder.is_none() {
             return Err(format!("fleet.folder: expected a folder, since {me} is one of fleet.keepers"));
         }
@@ -217,10 +246,10 @@
             listen: self.listen,
             via: self.via.clone(),
             folder: self.folder.clone(),
-            budgets: self
-                .budgets
-                .as_ref()
-                .map(|b| transport::Budgets { share: b.share.0, wholes: b.wholes() }),
+            budgets: self.budgets.as_ref().map(|b| transport::Budgets {
+                settings: budget::Settings { share: b.share.0, drift: self.drift, wholes: b.wholes() },
+                tenants: tenants.to_vec(),
+            }),
             report: self.report.as_ref().map(|r| Report { to: r.to, every: r.every.0 }),
         })
     }
--- a/src/program/fleet.rs
+++ b/src/program/fleet.rs
@@ -21,6 +21,8 @@
     Status(Status),
     /// Show the fleet's budgets: whole, floors, what is given to whom, and what is free
     Budgets(Status),
+    /// Show what crossed between zones at this node: by minute, class and tenant
+    Crossings(Status),
     /// Take all nodes out one after the other: each lets its clients go, stays out for a while and comes back
     Roll(Roll),
 }
@@ -51,7 +53,7 @@
 impl Fleet {
     pub(super) fn run(&self) -> Result<(), String> {
         let status = match &self.what {
-            What::Status(status) | What::Budgets(status) => status,
+            What::Status(status) | What::Budgets(status) | What::Crossings(status) => status,
             What::Roll(roll) => {
                 let (out, hold) = (roll.out, roll.hold.as_millis());
                 let told = call(roll.admin, &format!("POST /api/fleet/roll?out={out}&hold_ms={hold}"))?;
@@ -59,11 +61,13 @@
                 return Ok(());
             }
         };
-        let body = call(status.admin, "GET /api/fleet")?;
+        let path = if matches!(self.what, What::Crossings(_)) { "crossings" } else { "fleet" };
+        let body = call(status.admin, &format!("GET /api/{path}"))?;
         let told: Value = serde_json::from_str(&body).map_err(|e| format!("{}: {e}", status.admin))?;
         match (&self.what, status.json) {
             (What::Budgets(_), true) => println!("{:#}", told["budgets"]),
             (What::Budgets(_), false) => print!("{}", budgets(&told)),
+            (What::Crossings(_), false) => print!("{}", crossings(&told)),
             (_, true) => println!("{told:#}"),
             (_, false) => print!("{}", table(&told)),
         }
@@ -102,12 +106,13 @@
     let mut out =
         format!("budgets of fleet {}, as {} sees them\n\n", text(&told["fleet"]), text(&told["node"]));
     out += &format!(
-        "{:<10} {:>10} {:>10} {:>12} {:>9}\n",
-        "budget", "whole/s", "floor/s", "own share/s", "left ms"
+        "{:<20} {:>10} {:>10} {:>12} {:>10} {:>7} {:>9}\n",
+        "budget", "whole/s", "floor/s", "own share/s", "wanted/s", "worth", "left ms"
     );
     for b in rows(&told["budgets"]["own"]) {
         let (name, whole, floor) = (text(&b["budget"]), &b["whole"], &b["floor"]);
-        out += &format!("{name:<10} {whole:>10} {floor:>10} {:>12} {:>9}\n", b["share"], b["left_ms"]);
+        let (share, wanted, worth, left) = (&b["share"], &b["wanted"], &b["worth"], &b["left_ms"]);
+        out += &format!("{name:<20} {whole:>10} {floor:>10} {share:>12} {wanted:>10} {worth:>7} {left:>9}\n");
     }
     let divided = &told["budgets"]["divided"];
     if divided.is_null() {
@@ -119,6 +124,9 @@
             "\n{name}: {whole}/s divided, {given} given, {free} free (epoch {})\n",
             divided["epoch"]
         );
+        if b["lowered_in_ms"].as_u64().is_some_and(|ms| ms > 0) {
+            out += &format!("  the whole was lowered: reached in {} ms at the latest\n", b["lowered_in_ms"]);
+        }
         for n in rows(&b["nodes"]) {
             out += &format!("  {:<16} {:>10}\n", text(&n["node"]), n["share"]);
         }
@@ -126,6 +134,19 @@
     out
 }
 
+/// The account of crossings as a person reads it.
+fn crossings(told: &Value) -> String {
+    let mut out = format!("{:<18} {:<16} {:<16} {:>9}\n", "minute (UTC)", "class", "tenant", "crossings");
+    for row in rows(told) {
+        let at = std::time::UNIX_EPOCH + Duration::from_secs(row["minute"].as_u64().unwrap_or(0) * 60);
+        let at = humantime::format_rfc3339_seconds(at).to_string();
+        let minute = at.get(..16).unwrap_or(&at).replace('T', " ");
+        let (class, tenant) = (text(&row["class"]), text(&row["tenant"]));
+        out += &format!("{minute:<18} {class:<16} {tenant:<16} {:>9}\n", row["count"]);
+    }
+    out
+}
+
 /// What a person reads.
 fn table(told: &Value) -> String {
     let mut out = format!("fleet {}, as {} sees it\n\n", text(&told["fleet"]), text(&told["node"]));
--- a/src/program/resolve.rs
+++ b/src/program/resolve.rs
@@ -87,7 +87,7 @@
         let mut lookups = Lookups::new(clock, tell.clone());
         let newest = lookups.newest();
         lookups.set(operator.service());
-        let watch = discovery.map(|addr| Watch::new(addr, Rc::new(bounds()), tell.clone()));
+        let watch = discovery.map(|addr| Watch::new(addr, Rc::new(bounds()), tell.clone(), clock));
         if let Some(watch) = &watch {
             watch.start();
         } else if operator.lists() {
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -112,8 +112,10 @@
         bounds: bounds.clone(),
         streams: streams.clone(),
         written: Rc::default(),
+        crossings: Rc::default(),
+        clock,
     };
-    let discovery = Watch::new(config.discovery, bounds.clone(), tell.clone());
+    let discovery = Watch::new(config.discovery, bounds.clone(), tell.clone(), clock);
     discovery.enable(operator.lists());
     if let Some(known) = &config.known {
         discovery.version(known.version());
@@ -134,7 +136,8 @@
         }
     });
     // Before clients are told to come: a node that can't take its place must not serve as if it had.
-    let place = operator.fleet.as_ref().map(|fleet| fleet.place(&config.name)).transpose()?;
+    let place =
+        operator.fleet.as_ref().map(|fleet| fleet.place(&config.name, &boot.names.tenants)).transpose()?;
     let fleet = match place {
         Some(place) => Some(Fleet::start(place, tell.clone(), phase.clone(), clock).await?),
         None => None,
@@ -162,7 +165,7 @@
             _ = interrupt.recv() => break,
             _ = hangup.recv() => match reread().and_then(|read| follow(&config, &boot, read)).and_then(|read| {
                 match (&fleet, &read.1.fleet) {
-                    (Some(fleet), Some(settings)) => fleet.resettle(&settings.place(&read.0.name)?)?,
+                    (Some(fleet), Some(settings)) => fleet.resettle(&settings.place(&read.0.name, &read.2.names.tenants)?)?,
                     (None, None) => {}
                     _ => return Err("operator: fleet: expected to come or go with a restart alone".into()),
                 }
--- a/src/protocol/admin.rs
+++ b/src/protocol/admin.rs
@@ -14,6 +14,8 @@
     Telemetry,
     /// Who is in the fleet, and who holds what.
     Fleet,
+    /// Attempts that went to another zone, by minute, class and tenant.
+    Crossings,
     /// Take the fleet's nodes out one after the other.
     Roll {
         /// At most so many at once.
@@ -42,8 +44,10 @@
     pub targets_disabled: usize,
     /// Files taken and turned down at SIGHUP.
     pub reloads: (u64, u64),
+    /// Attempts written whole to model servers of other zones, by class and tenant.
+    pub crossings: Vec<(String, String, u64)>,
     /// Of the node's part in its fleet, by name, where it has one.
-    pub fleet: Vec<(&'static str, u64)>,
+    pub fleet: Vec<(String, u64)>,
 }
 
 /// Reads which call a head is for.
@@ -66,6 +70,7 @@
         "/api/ready" => (Call::Ready, "GET"),
         "/api/telemetry" => (Call::Telemetry, "GET"),
         "/api/fleet" => (Call::Fleet, "GET"),
+        "/api/crossings" => (Call::Crossings, "GET"),
         "/api/fleet/roll" => {
             let hold = number("hold_ms", 0, 86_400_000)? * 1000;
             (Call::Roll { out: number("out", 1, u64::from(u32::MAX))? as u32, hold }, "POST")
@@ -97,7 +102,8 @@
         ("reload_success", f.reloads.0),
         ("reload_failure", f.reloads.1),
     ];
-    for (name, value) in rest.into_iter().chain(f.fleet.iter().copied()) {
+    let rest = rest.into_iter().chain(f.fleet.iter().map(|(name, value)| (name.as_str(), *value)));
+    for (name, value) in rest {
         let _ = writeln!(body, "app_{name} {value}");
     }
     answer("text/plain", &body)
--- a/src/routing/directory.rs
+++ b/src/routing/directory.rs
@@ -76,6 +76,11 @@
         self.known.get(&id).map(|k| k.addr)
     }
 
+    /// The zone that a replica stands in.
+    pub fn zone(&self, id: ReplicaId) -> Option<usize> {
+        self.known.get(&id).map(|k| k.listing.zone)
+    }
+
     /// A replica's name in the account.
     pub fn name(&self, id: ReplicaId) -> Option<&str> {
         self.known.get(&id).map(|k| k.name.as_str())
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,7 +1,8 @@
 //! The core: it owns the module, the requests, their attempts and all timers. Events with a time come in,
 //! commands go out; it knows no socket and no HTTP. Everything that is decided is decided by the module.
-//! `directory` is the account of membership in the module's terms.
+//! `directory` is the account of membership in the module's terms, `crossings` that of traffic between zones.
 
+pub mod crossings;
 pub mod directory;
 
 use crate::interface::*;
@@ -210,11 +211,11 @@
         self.brain.avoided()
     }
     /// What the fleet allows this node from now on.
-    pub fn allow(&mut self, allowed: Allowed) {
+    pub fn allow(&mut self, allowed: &Allowed) {
         self.brain.allow(allowed);
     }
-    /// How many retries and second copies have been wanted since the start, where the fleet has a budget for them.
-    pub fn wanted(&self) -> [u64; 2] {
+    /// What has been wanted since the start of what the fleet has budgets for.
+    pub fn wanted(&self) -> BTreeMap<Spend, Wanted> {
         self.brain.wanted()
     }
     /// Each listed replica: whether it gets trials only, and when its last answer came, if nothing has failed since.
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,7 +7,8 @@
 mod rates;
 
 pub(crate) use learned::*;
-pub(crate) use rates::*;
+pub use rates::Spendings;
+pub(crate) use rates::{Allowance, Rate};
 
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum Phase {
--- a/src/state/rates.rs
+++ b/src/state/rates.rs
@@ -1,44 +1,94 @@
 //! Token buckets and rates over time.
 
-use crate::interface::{Budget, Seconds};
+use crate::interface::{Allowed, Budget, Seconds, Spend, Wanted};
+use std::collections::BTreeMap;
 
 /// What is spent of a budget of the fleet: a bucket that starts empty, since a router that starts again and again must
-/// not bring a burst along each time. Without a budget all may be spent.
-#[derive(Clone, Default)]
-pub(crate) struct Spending {
-    pub(crate) budget: Option<Budget>,
+/// not bring a burst along each time.
+#[derive(Clone)]
+struct Spending {
+    budget: Budget,
     left: f64,
     at: Seconds,
-    /// Asked for since the start.
-    pub(crate) wanted: u64,
+    wanted: Wanted,
 }
 
 impl Spending {
-    pub(crate) fn set(&mut self, now: Seconds, budget: Option<Budget>) {
-        // What has come in until now came in by the budget until now.
-        self.fill(now);
-        self.budget = budget;
-        self.fill(now);
+    fn fill(&mut self, now: Seconds) {
+        (self.left, self.at) = (self.level(now), now.max(self.at));
+    }
+    fn level(&self, now: Seconds) -> f64 {
+        let (b, now) = (self.budget, now.max(self.at));
+        let shared = (now.min(b.until) - self.at).max(0.0);
+        (self.left + b.floor * (now - self.at) + b.rate * shared).min(self.most(now))
+    }
+    fn most(&self, now: Seconds) -> f64 {
+        self.budget.floor_burst + if now < self.budget.until { self.budget.burst } else { 0.0 }
+    }
+}
+
+/// What is spent of all budgets of the fleet. What has no budget may be spent.
+#[derive(Clone, Default)]
+pub struct Spendings(BTreeMap<Spend, Spending>);
+
+impl Spendings {
+    /// What the fleet allows from now on.
+    pub fn set(&mut self, now: Seconds, allowed: &Allowed) {
+        self.0.retain(|what, _| allowed.contains_key(what));
+        for (what, budget) in allowed {
+            let fresh = Spending { budget: *budget, left: 0.0, at: now, wanted: Wanted::default() };
+            let s = self.0.entry(*what).or_insert(fresh);
+            // What has come in until now came in by the budget until now.
+            s.fill(now);
+            s.budget = *budget;
+            s.fill(now);
+        }
+    }
+
+    /// Whether a unit may be spent; then it is.
+    pub fn take(&mut self, now: Seconds, what: Spend, worth: f64) -> bool {
+        self.want(what, 1.0, worth);
+        self.spend(now, what)
     }
 
-    pub(crate) fn take(&mut self, now: Seconds) -> bool {
-        if self.budget.is_none() {
-            return true;
+    /// The same for a unit whose wish has been counted.
+    pub fn spend(&mut self, now: Seconds, what: Spend) -> bool {
+        let may = self.may(now, what, 0.0);
+        if let Some(s) = self.0.get_mut(&what).filter(|_| may) {
+            s.fill(now);
+            s.left -= 1.0;
         }
-        self.wanted += 1;
-        self.fill(now);
-        let may = self.left >= 1.0;
-        self.left -= if may { 1.0 } else { 0.0 };
         may
     }
 
-    fn fill(&mut self, now: Seconds) {
-        let (from, now) = (self.at, now.max(self.at));
-        self.at = now;
-        let Some(b) = self.budget else { return };
-        let shared = (now.min(b.until) - from).max(0.0);
-        let most = if now < b.until { b.floor_burst + b.burst } else { b.floor_burst };
-        self.left = (self.left + b.floor * (now - from) + b.rate * shared).min(most);
+    /// Whether a unit may be spent and this part of what can be saved up is left behind it.
+    pub fn may(&self, now: Seconds, what: Spend, reserve: f64) -> bool {
+        let most = |s: &Spending| (s.most(now) - 1.0).max(0.0);
+        self.0.get(&what).is_none_or(|s| s.level(now) >= 1.0 + reserve * most(s))
+    }
+
+    /// So much of it is wanted, whoever decides about it.
+    pub fn want(&mut self, what: Spend, units: f64, worth: f64) {
+        if let Some(s) = self.0.get_mut(&what) {
+            s.wanted.units += units;
+            s.wanted.worth += units * worth;
+        }
+    }
+
+    /// Whether there is a budget for it.
+    pub fn has(&self, what: Spend) -> bool {
+        self.0.contains_key(&what)
+    }
+
+    /// Units a second that come in now.
+    pub fn rate(&self, now: Seconds, what: Spend) -> Option<f64> {
+        let b = self.0.get(&what)?.budget;
+        Some(if now < b.until { b.floor + b.rate } else { b.floor })
+    }
+
+    /// What has been wanted since the start of what there are budgets for.
+    pub fn wanted(&self) -> BTreeMap<Spend, Wanted> {
+        self.0.iter().map(|(what, s)| (*what, s.wanted)).collect()
     }
 }
 
--- a/src/transport/admin.rs
+++ b/src/transport/admin.rs
@@ -97,6 +97,14 @@
                 Some(fleet) => admin::json(&fleet.status().to_string()),
                 None => request::own_answer(404, "this node is in no fleet", None, true),
             },
+            Call::Crossings => {
+                let (ask, told) = oneshot::channel();
+                let asked = self.tell.send(Message::Crossings(ask)).await.is_ok();
+                match told.await.ok().filter(|_| asked).and_then(|rows| serde_json::to_string(&rows).ok()) {
+                    Some(rows) => admin::json(&rows),
+                    None => request::own_answer(503, "the node is ending", None, true),
+                }
+            }
             Call::Roll { out, hold } => match &self.fleet {
                 Some(fleet) => yes(&fleet.order_roll(out, hold)),
                 None => request::own_answer(404, "this node is in no fleet", None, true),
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -3,14 +3,19 @@
 //! say. Where it is pushed, the address is an agent on the node's own machine that answers at no cost: the watch
 //! runs from the start and calls again by itself after a short pause.
 
+use super::clock::Clock;
 use super::messages::{Message, LIST};
 use super::{Bounds, Wire};
+use crate::interface::{Allowed, Spend, Wanted};
 use crate::protocol::discovery::{read, Update};
 use crate::protocol::http::{Http, Out, Part, Side, Start};
 use crate::protocol::request;
+use crate::routing::seconds;
+use crate::Spendings;
 use futures_util::{SinkExt, StreamExt};
 use poppykeel_membership::Told;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +29,9 @@
 /// connection, short against the time in which a drain must be heeded.
 const PUSHED_PAUSE: Duration = Duration::from_millis(100);
 
+/// Where the fleet's budget has no call left, it is looked again after this.
+const LOOK: Duration = Duration::from_millis(20);
+
 /// The watch of one node.
 #[derive(Clone)]
 pub struct Watch {
@@ -39,14 +47,17 @@
     lately: Rc<RefCell<Option<String>>>,
     /// The list is pushed: the watch never waits for the module.
     pushed: bool,
+    /// What the fleet allows of calls.
+    calls: Rc<RefCell<Spendings>>,
+    clock: Clock,
 }
 
 impl Watch {
     /// A watch that has not begun.
-    pub fn new(addr: SocketAddr, bounds: Rc<Bounds>, tell: mpsc::Sender<Message>) -> Self {
-        let (moved, running, version, lately) = Default::default();
+    pub fn new(addr: SocketAddr, bounds: Rc<Bounds>, tell: mpsc::Sender<Message>, clock: Clock) -> Self {
+        let (moved, running, version, lately, calls) = Default::default();
         let (addr, enabled, pushed) = (Rc::new(Cell::new(addr)), Rc::new(Cell::new(true)), false);
-        Watch { addr, moved, bounds, tell, running, enabled, version, lately, pushed }
+        Watch { addr, moved, bounds, tell, running, enabled, version, lately, pushed, calls, clock }
     }
 
     /// The same watch where the list is pushed: it runs from now on, whether or not the module asks.
@@ -70,6 +81,26 @@
         }
     }
 
+    /// What the fleet allows of calls from now on.
+    pub fn allow(&self, allowed: &Allowed) {
+        let calls = allowed.iter().filter(|(what, _)| **what == Spend::Discovery);
+        let calls = calls.map(|(what, budget)| (*what, *budget)).collect();
+        self.calls.borrow_mut().set(seconds(self.clock.now()), &calls);
+    }
+
+    /// What has been wanted of that.
+    pub fn wanted(&self) -> BTreeMap<Spend, Wanted> {
+        self.calls.borrow().wanted()
+    }
+
+    /// Waits until the fleet's budget has a call for this node.
+    async fn permitted(&self) {
+        self.calls.borrow_mut().want(Spend::Discovery, 1.0, 1.0);
+        while !self.calls.borrow_mut().spend(seconds(self.clock.now()), Spend::Discovery) {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     /// Begins, unless it is running.
     pub fn start(&self) {
         if self.enabled.get() && !self.running.replace(true) {
@@ -113,7 +144,10 @@
                     wire = None;
                     continue;
                 }
-                call = tokio::time::timeout(limit, self.call(&mut wire)) => call,
+                call = async {
+                    self.permitted().await;
+                    tokio::time::timeout(limit, self.call(&mut wire)).await
+                } => call,
             };
             match call {
                 Ok(Ok(update)) => {
--- a/src/transport/fleet/report.rs
+++ b/src/transport/fleet/report.rs
@@ -103,12 +103,20 @@
         for (class, counts) in figures.values().flat_map(|f| &f.replies) {
             sums.entry(class).or_default().iter_mut().zip(counts).for_each(|(sum, count)| *sum += count);
         }
+        let mut crossed: BTreeMap<(&str, &str), u64> = BTreeMap::new();
+        for (class, tenant, count) in figures.values().flat_map(|f| &f.crossings) {
+            *crossed.entry((class, tenant)).or_default() += count;
+        }
+        let crossed = crossed
+            .iter()
+            .map(|((class, tenant), count)| json!({"class": class, "tenant": tenant, "count": count}));
         let me = self.node.borrow().me();
         let body = json!({
             "fleet": self.place.node.fleet, "task": TASK, "epoch": epoch, "slot": slot, "node": me.node,
             "incarnation": format!("{:016x}", me.incarnation), "every_us": report.every,
             "nodes": figures.keys().collect::<Vec<_>>(),
             "dispatches": figures.values().map(|f| f.dispatches).sum::<u64>(),
+            "crossings": crossed.collect::<Vec<_>>(),
             "concurrent": figures.values().map(|f| f.concurrent).sum::<u64>(),
             "replies": sums.iter().map(|(class, t)| json!({"class": class, "served": t[0], "refused": t[1],
                 "failed": t[2]})).collect::<Vec<_>>(),
@@ -158,7 +166,8 @@
             }
             let Ok(told) = told.await else { return };
             let (dispatches, concurrent) = (told.dispatches, told.concurrent as u64);
-            let figures = Figures { replies: told.replies, dispatches, concurrent, wall: wall() };
+            let (replies, crossings) = (told.replies, told.crossings);
+            let figures = Figures { replies, crossings, dispatches, concurrent, wall: wall() };
             let out = own.node.borrow_mut().post(to, None, Body::Figures(number, figures));
             own.carry_out(vec![out]);
         });
--- a/src/transport/fleet/status.rs
+++ b/src/transport/fleet/status.rs
@@ -13,12 +13,12 @@
 
 impl Fleet {
     /// The figures of the fleet, beside the node's own.
-    pub fn figures(&self) -> Vec<(&'static str, u64)> {
+    pub fn figures(&self) -> Vec<(String, u64)> {
         let now = self.clock.now();
         let (node, dropped) = (self.node.borrow(), self.dropped.get());
         let (status, counts) = (node.status(now), node.counts());
         let held = status.claims.iter().filter(|claim| claim.1.is_some()).count();
-        vec![
+        let own = [
             ("fleet_members", status.others.len() as u64 + 1),
             ("fleet_leases_held", held as u64),
             ("fleet_keeper_granting", u64::from(matches!(status.keeper, Some((Standing::Granting, _))))),
@@ -29,7 +29,9 @@
             ("fleet_messages_taken", counts.taken),
             ("fleet_messages_garbled", dropped.garbled),
             ("fleet_messages_foreign", dropped.foreign + counts.other_keepers),
-        ]
+        ];
+        let own = own.into_iter().map(|(name, value)| (name.to_string(), value));
+        own.chain(self.budget_shares()).collect()
     }
 
     /// Members, keepers and leases as this node sees them.
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -2,14 +2,14 @@
 
 use super::clock::Clock;
 use super::discovery::Watch;
-use super::messages::{Answer, Message, Payload, Piece, Replica, LIST};
+use super::messages::{Answer, Crossed, Message, Payload, Piece, Replica, LIST};
 use super::upstream::{Job, Upstream};
 use crate::interface::{ReplicaId, RequestId};
 use crate::protocol::admin::Figures;
 use crate::routing::directory::{Changed, Directory};
 use crate::routing::{Command, Input, Micros, Router};
 use poppykeel_membership::Told;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
@@ -24,6 +24,8 @@
     payload: Rc<Payload>,
     /// The class's wish for the time between tokens, in microseconds.
     token_aim: Option<Micros>,
+    /// Its class and its tenant.
+    of: (usize, usize),
     answer: oneshot::Sender<Answer>,
 }
 
@@ -105,16 +107,29 @@
                 let class = self.upstream.boot.settings.classes.get(arrival.class);
                 let token_aim = class.map(|c| c.token_aim * 1e6).filter(|aim| aim.is_finite());
                 let token_aim = token_aim.map(|aim| aim as Micros);
-                self.clients.insert(arrival.id, Client { payload: Rc::new(payload), token_aim, answer });
+                let of = (arrival.class, arrival.tenant);
+                let payload = Rc::new(payload);
+                self.clients.insert(arrival.id, Client { payload, token_aim, of, answer });
                 Input::Arrived(arrival)
             }
+            Message::Crossings(told) => {
+                let crossings = self.upstream.crossings.borrow();
+                let _ = told.send(crossings.by_minute().map(|row| self.named(row)).collect());
+                return;
+            }
             Message::Figures(figures) => {
                 let _ = figures.send(self.figures());
                 return;
             }
-            Message::Allow(allowed) => return self.router.allow(allowed),
+            Message::Allow(allowed) => {
+                self.watch.allow(&allowed);
+                return self.router.allow(&allowed);
+            }
             Message::Wanted(told) => {
-                let _ = told.send(self.router.wanted());
+                // Calls for the list are the watch's to count.
+                let mut wanted = self.router.wanted();
+                wanted.extend(self.watch.wanted());
+                let _ = told.send(wanted);
                 return;
             }
             Message::Replicas(told) => {
@@ -208,11 +223,29 @@
             concurrent: self.router.live(),
             targets: self.directory.listed(),
             targets_disabled: self.router.avoided(),
+            crossings: self.crossings(),
             reloads: (0, 0),
             fleet: Vec::new(),
         }
     }
 
+    /// A row of the account of crossings with names in place of the module's numbers.
+    fn named(&self, (minute, class, tenant, count): (u64, usize, usize, u64)) -> Crossed {
+        let names = &self.upstream.boot.names;
+        let name = |all: &[String], n: usize| all.get(n).cloned().unwrap_or_default();
+        Crossed { minute, class: name(&names.classes, class), tenant: name(&names.tenants, tenant), count }
+    }
+
+    /// Since the start, by class and tenant; a class whose settings have changed has had several places.
+    fn crossings(&self) -> Vec<(String, String, u64)> {
+        let mut sums: BTreeMap<(String, String), u64> = BTreeMap::new();
+        for (class, tenant, count) in self.upstream.crossings.borrow().totals() {
+            let row = self.named((0, class, tenant, count));
+            *sums.entry((row.class, row.tenant)).or_default() += count;
+        }
+        sums.into_iter().map(|((class, tenant), count)| (class, tenant, count)).collect()
+    }
+
     fn sum_up(&self) {
         let (c, (window, out)) = (self.router.counts(), self.router.window());
         tracing::info!(
@@ -252,8 +285,11 @@
                         continue;
                     };
                     let (peer, wait) = ((replica, addr), until.saturating_sub(now));
-                    let token_aim = self.clients.get(&request).and_then(|c| c.token_aim);
-                    let job = Job { request, attempt, peer, wait, token_aim, payload };
+                    let client = self.clients.get(&request);
+                    let token_aim = client.and_then(|c| c.token_aim);
+                    let crosses = self.directory.zone(replica) != Some(self.upstream.boot.settings.zone);
+                    let crosses = client.map(|c| c.of).filter(|_| crosses);
+                    let job = Job { request, attempt, peer, wait, token_aim, crosses, payload };
                     let task = tokio::task::spawn_local(self.upstream.clone().attempt(job));
                     self.attempts.insert((request, attempt), task.abort_handle());
                 }
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -1,6 +1,6 @@
 //! What drivers tell each other. Everything here is plain data; each driver uses this file and those below it.
 
-use crate::interface::{Allowed, Arrival, ReplicaId, RequestId};
+use crate::interface::{Allowed, Arrival, ReplicaId, RequestId, Spend, Wanted};
 use crate::protocol::admin::Figures;
 use crate::routing::directory::Members;
 use crate::routing::{Input, Micros};
@@ -47,6 +47,19 @@
     pub well_since: Option<Micros>,
 }
 
+/// Attempts that went to another zone in one minute.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct Crossed {
+    /// Minutes of Unix time by this node's clock.
+    pub minute: u64,
+    /// The requests' class.
+    pub class: String,
+    /// Their tenant; empty at sites without.
+    pub tenant: String,
+    /// How many.
+    pub count: u64,
+}
+
 /// What drivers tell the hub.
 pub enum Message {
     /// For the core as it is.
@@ -88,8 +101,10 @@
     Advice(Vec<(String, bool)>),
     /// What the fleet allows this node from now on.
     Allow(Allowed),
-    /// How many retries and second copies have been wanted since the start.
-    Wanted(oneshot::Sender<[u64; 2]>),
+    /// What has been wanted since the start of what the fleet has budgets for.
+    Wanted(oneshot::Sender<BTreeMap<Spend, Wanted>>),
+    /// An operator asks for the account of crossings.
+    Crossings(oneshot::Sender<Vec<Crossed>>),
     /// An operator asks for the figures.
     Figures(oneshot::Sender<Figures>),
     /// New settings for the core; answered once they hold.
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -1,6 +1,7 @@
 //! One attempt at a replica, and probes. Dropping the task closes the connection: that is how an attempt is
 //! abandoned, and why nothing of it can be used again.
 
+use super::clock::Clock;
 use super::messages::{Message, Payload, Piece};
 use super::pool::{Conn, NoConn, Peer, Pool};
 use super::streams::{Live, Streams};
@@ -10,11 +11,12 @@
 use crate::protocol::http::{Out, Part, Start};
 use crate::protocol::report::{probed, report};
 use crate::protocol::request;
+use crate::routing::crossings::Crossings;
 use crate::routing::{Input, Micros};
 use crate::wire::Boot;
 use bytes::{Buf, Bytes};
 use futures_util::{SinkExt, StreamExt};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,6 +44,10 @@
     pub streams: Rc<Streams>,
     /// Attempts written whole.
     pub written: Rc<Cell<u64>>,
+    /// Of these the ones that went to another zone.
+    pub crossings: Rc<RefCell<Crossings>>,
+    /// What tells their minutes.
+    pub clock: Clock,
 }
 
 /// One attempt.
@@ -56,6 +62,8 @@
     pub wait: Micros,
     /// The class's wish for the time between tokens, in microseconds.
     pub token_aim: Option<Micros>,
+    /// Its class and tenant, where the replica is in another zone.
+    pub crosses: Option<(usize, usize)>,
     /// What is sent.
     pub payload: Rc<Payload>,
 }
@@ -94,6 +102,9 @@
             return (Outcome::ConnectFailed, None, None);
         }
         self.written.set(self.written.get() + 1);
+        if let Some((class, tenant)) = job.crosses {
+            self.crossings.borrow_mut().add(self.clock.moment().unix, class, tenant);
+        }
         let mut answer = Answer::new(self.boot.clone());
         let mut steps = Vec::new();
         let mut keep = false;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -109,8 +109,8 @@
         assert!(error.starts_with(place), "{place}: {error}\n{text}");
     }
     let alone = Operator::read(&good.replace("folder = \"x\"\n", "")).unwrap().fleet.unwrap();
-    assert!(alone.place("n0").unwrap_err().contains("fleet.folder"));
-    assert!(alone.place("n9").is_ok());
+    assert!(alone.place("n0", &[]).unwrap_err().contains("fleet.folder"));
+    assert!(alone.place("n9", &[]).is_ok());
 }
 
 /// One call at a node's operators' address.
