Emulate three hundred nodes that talk: leases and shares by the fleet's own machines in the lab

Need: figures of 300 nodes in the lab's emulator, and budgets against equal parts and none at a size sockets don't reach. Design: emulator/together.rs puts the fleet's node and its part in budgets at every emulated node, on the emulated network (zones, cuts, killed nodes keep their disk); [together] in an experiment's file, divisions shares, equal and none; figures for messages, bytes, the longest time without a holder, repeats at the servers against the budget's bound. Rejected: messages as bytes through the reader (each is written for its size alone). Talk went on after the last arrival and was counted: it ends there now.

--- a/crates/lab/src/emulator/description.rs
+++ b/crates/lab/src/emulator/description.rs
@@ -18,6 +18,62 @@
     pub tenant: Vec<Tenant>,
     /// What goes wrong.
     pub fault: Vec<Fault>,
+    /// Talk between the nodes, and what they spend together; none by default.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub together: Option<Together>,
+}
+
+/// How a budget of the whole fleet reaches the nodes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Division {
+    /// By shares that follow what nodes want, under a lease.
+    #[default]
+    Shares,
+    /// The same part for each, for ever.
+    Equal,
+    /// Nobody counts.
+    None,
+}
+
+/// Talk between the nodes.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Together {
+    /// The first so many nodes are keepers.
+    pub keepers: usize,
+    /// The length of leases, in seconds.
+    pub lease_s: f64,
+    /// The time between two probes of other nodes, in seconds.
+    pub probe_s: f64,
+    /// The length of shares, in seconds.
+    pub share_s: f64,
+    /// How the budget is divided.
+    pub division: Division,
+    /// Retries a second of all nodes, and at once.
+    pub retries: f64,
+    /// See there.
+    pub burst: f64,
+    /// What a node without a share may spend, and at once.
+    pub floor: f64,
+    /// See there.
+    pub floor_burst: f64,
+}
+
+impl Default for Together {
+    fn default() -> Self {
+        Together {
+            keepers: 3,
+            lease_s: 5.0,
+            probe_s: 1.0,
+            share_s: 2.0,
+            division: Division::Shares,
+            retries: 100.0,
+            burst: 500.0,
+            floor: 0.0,
+            floor_burst: 1.0,
+        }
+    }
 }
 
 /// Servers, nodes and what is between them.
@@ -298,6 +354,20 @@
         if f.servers > 1 << 20 || f.nodes > 1 << 16 {
             return Err("fleet: expected at most 1048576 servers and 65536 nodes".into());
         }
+        if let Some(t) = &self.together {
+            if t.keepers == 0 || t.keepers > f.nodes || t.keepers.is_multiple_of(2) {
+                return Err(format!(
+                    "together.keepers: expected 1, 3, 5 or 7 of the nodes, not {}",
+                    t.keepers
+                ));
+            }
+            let figures = [t.lease_s, t.probe_s, t.share_s, t.retries, t.burst, t.floor, t.floor_burst];
+            if !figures.iter().all(|x| x.is_finite() && *x >= 0.0) || t.lease_s < 0.1 || t.share_s < 0.2 {
+                return Err(
+                    "together: expected figures of 0 or more, lease_s from 0.1, share_s from 0.2".into()
+                );
+            }
+        }
         for (n, class) in self.class.iter().enumerate() {
             let figures = [class.part, class.worth, class.late_worth, class.aim_s, class.deadline_s];
             let tokens = [class.prompt_tokens, class.prompt_sigma, class.answer_tokens, class.answer_sigma];
--- a/crates/lab/src/emulator/faults.rs
+++ b/crates/lab/src/emulator/faults.rs
@@ -169,6 +169,7 @@
             return;
         }
         n.epoch += 1;
+        self.leave(node);
         let held: Vec<u64> =
             self.tries.iter().flatten().filter(|t| t.node as usize == node).map(|t| t.id()).collect();
         for id in held {
@@ -196,6 +197,7 @@
             self.nodes[node] = fresh;
             self.nodes[node].epoch = epoch;
             self.whole_list(node);
+            self.join(node);
         }
     }
 
--- a/crates/lab/src/emulator/measure.rs
+++ b/crates/lab/src/emulator/measure.rs
@@ -98,6 +98,21 @@
     }
 }
 
+/// What talk between nodes came to.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq)]
+pub struct Talked {
+    /// Messages and bytes that a node sent a second in the second half of the run, the mean.
+    pub node: (f64, f64),
+    /// The same of the busiest keeper.
+    pub keeper: (f64, f64),
+    /// Moments, one each 5 ms, at which two nodes held the task.
+    pub overlaps: u64,
+    /// The longest time without a holder after the first one, in seconds.
+    pub longest_without: f64,
+    /// The most by which repeats at the servers exceeded the budget's rate over any window, as a part of its burst.
+    pub worst_window: f64,
+}
+
 /// What a run came to.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
 pub struct Outcome {
@@ -111,6 +126,9 @@
     pub tries: u64,
     /// Attempts at servers.
     pub attempts: u64,
+    /// Attempts that reached a server and were not their request's first.
+    #[serde(default)]
+    pub repeats: u64,
     /// Attempts from zone to zone.
     pub crossed: u64,
     /// Probes.
@@ -141,6 +159,9 @@
     pub faults: Vec<Fault>,
     /// Rules that were broken.
     pub broken: Broken,
+    /// Of talk between the nodes, where there was any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub talked: Option<Talked>,
     /// Events of the run.
     pub events: u64,
 }
--- a/crates/lab/src/emulator/mod.rs
+++ b/crates/lab/src/emulator/mod.rs
@@ -11,6 +11,7 @@
 mod prefixes;
 mod queue;
 pub mod server;
+mod together;
 mod trace;
 mod world;
 
@@ -18,6 +19,6 @@
 pub(crate) use measure::Measure;
 pub(crate) use node::settings;
 
-pub use measure::{Broken, End, Outcome, Spread, Tally, PARTS, PIECES};
+pub use measure::{Broken, End, Outcome, Spread, Talked, Tally, PARTS, PIECES};
 pub use trace::Trace;
 pub use world::World;
--- a/crates/lab/src/emulator/node.rs
+++ b/crates/lab/src/emulator/node.rs
@@ -7,6 +7,7 @@
 use poppykeel::routing::{Command, Input, Router};
 use poppykeel::Brain;
 use rand::SeedableRng;
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 
 enum Mind {
@@ -122,6 +123,21 @@
         }
     }
 
+    /// What the fleet allows it from now on.
+    pub fn allow(&mut self, allowed: &Allowed) {
+        if let Mind::Core(router) = &mut self.mind {
+            router.allow(allowed);
+        }
+    }
+
+    /// What it has wanted since its start of what the fleet has budgets for.
+    pub fn wanted(&self) -> BTreeMap<Spend, Wanted> {
+        match &self.mind {
+            Mind::Core(router) => router.wanted(),
+            Mind::Simple(_) => BTreeMap::new(),
+        }
+    }
+
     /// Requests that wait in it, by tenant.
     pub fn waiting(&self) -> Vec<usize> {
         match &self.mind {
--- a/crates/lab/src/emulator/world.rs
+++ b/crates/lab/src/emulator/world.rs
@@ -7,6 +7,7 @@
 use super::policies::Policy;
 use super::queue::Queue;
 use super::server::{Job, Key, Said, Server, Shown};
+use super::together::{Talk, Together};
 use super::trace::{Hop, Passage, Trace};
 use crate::Micros;
 use poppykeel::interface::{self, Arrival, Listing, ReplicaState, Report, RequestId};
@@ -59,6 +60,8 @@
     Silent { id: u64, attempt: u8 },
     Restart { server: u32 },
     Wave { fault: usize, from: usize },
+    Talk { node: u32, start: u64, talk: Talk },
+    Look,
     Sample,
 }
 
@@ -137,6 +140,7 @@
     said: Vec<Said>,
     trace: Option<Trace>,
     events: u64,
+    pub(super) together: Option<Box<Together>>,
 }
 
 impl<'a> World<'a> {
@@ -175,7 +179,9 @@
             said: Vec::new(),
             trace: None,
             events: 0,
+            together: run.together.as_ref().map(|t| Box::new(Together::new(t, f.nodes))),
         };
+        (0..f.nodes).for_each(|node| world.join(node));
         for node in 0..f.nodes {
             world.whole_list(node);
         }
@@ -243,10 +249,12 @@
     pub fn finish(mut self) -> Result<Outcome, String> {
         while self.go(1 << 20) {}
         let open = self.tries.iter().flatten().filter(|t| !t.over).count() as u64;
+        let talked = self.talked();
         let preempted = self.places.iter().map(|p| p.server.preempted).sum();
         let out = self.measure.counts();
         out.broken.lost = open;
         out.preempted = preempted;
+        out.talked = talked;
         if let Some(trace) = self.trace {
             trace.finish()?;
         }
@@ -295,6 +303,8 @@
             Event::AtClient { id, told } => self.at_client(now, id, told),
             Event::GiveUp { id } => self.give_up(now, id),
             Event::Silent { id, attempt } => self.silent(now, id, attempt),
+            Event::Talk { node, start, talk } => self.talk(now, node, start, talk),
+            Event::Look => self.look_at_holders(now),
             Event::Sample => {
                 let slots = self.run.fleet.server.slots;
                 let loads = self.places.iter().map(|p| (p.server.load().0 + p.server.load().1, slots));
@@ -689,6 +699,10 @@
             return self.say(now, key, Word::Ended(attempt, interface::Outcome::ConnectFailed, None));
         }
         a.ran = true;
+        if attempt > 0 {
+            self.measure.counts().repeats += 1;
+            self.repeated(now);
+        }
         if failing {
             return self.say(now + 1000, key, Word::Ended(attempt, interface::Outcome::Error, None));
         }
--- a/crates/lab/src/experiment/description.rs
+++ b/crates/lab/src/experiment/description.rs
@@ -1,6 +1,6 @@
 //! An experiment's file: the run's own keys, and around them a name, policies, seeds and sweeps.
 
-use crate::emulator::description::{Class, Fault, Fleet, Load, Run, Tenant};
+use crate::emulator::description::{Class, Fault, Fleet, Load, Run, Tenant, Together};
 use crate::emulator::policies::Policy;
 use serde::Deserialize;
 use std::path::Path;
@@ -29,6 +29,8 @@
     tenant: Vec<Tenant>,
     #[serde(default)]
     fault: Vec<Fault>,
+    #[serde(default)]
+    together: Option<Together>,
 }
 
 fn all() -> Vec<Policy> {
@@ -111,7 +113,7 @@
     /// Reads a text; an error names the key, and its line where it has one.
     pub fn parse(text: &str) -> Result<Experiment, String> {
         let file: File = toml::from_str(text).map_err(|e| e.to_string())?;
-        let File { name, policies, seeds, sweep, fleet, load, class, tenant, fault } = file;
+        let File { name, policies, seeds, sweep, fleet, load, class, tenant, fault, together } = file;
         let fits = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
         if name.is_empty() || !name.chars().all(fits) {
             return Err(format!("name: expected letters, digits, - and _, not '{name}'"));
@@ -119,7 +121,7 @@
         if policies.is_empty() || seeds.is_empty() {
             return Err("policies, seeds: expected one at least".into());
         }
-        let base = Run { fleet, load, class, tenant, fault }.check()?;
+        let base = Run { fleet, load, class, tenant, fault, together }.check()?;
         let base = Value::try_from(&base).map_err(|e| e.to_string())?;
         let mut points = vec![(String::new(), base)];
         for sweep in &sweep {
--- a/crates/lab/src/experiment/table.rs
+++ b/crates/lab/src/experiment/table.rs
@@ -2,7 +2,7 @@
 
 use super::results::Found;
 use crate::emulator::policies::Policy;
-use crate::emulator::{End, Outcome};
+use crate::emulator::{End, Outcome, Tally};
 use std::fmt::Write;
 
 /// Student's t at 97.5%, by degrees of freedom from 1 on; beyond the table it is nearly that of the normal.
@@ -65,12 +65,44 @@
     Crossed,
     /// Broken rules.
     Broken,
+    /// Attempts at servers beyond each request's first, for each 100 requests.
+    Repeats,
+    /// Seconds from the first fault's end until a piece of time has 95% of the served worth of before that fault.
+    Recovery,
+    /// Repeats at servers beyond the fleet's budget over the worst window, as a part of its burst.
+    Window,
+    /// Messages that a node sends a second.
+    Messages,
+    /// Bytes that a node sends a second.
+    Bytes,
+    /// Messages that the busiest keeper sends a second.
+    KeeperMessages,
+    /// Bytes that the busiest keeper sends a second.
+    KeeperBytes,
+    /// The longest time without a holder, in seconds.
+    Without,
+}
+
+/// The time from the first fault's end until the service is as it was.
+fn recovery(o: &Outcome) -> f64 {
+    let Some(fault) = o.faults.first() else { return f64::NAN };
+    let piece = |at: f64| (at / o.piece_s) as usize;
+    let (from, end) = (piece(fault.at_s), piece(fault.at_s + fault.for_s));
+    let part = |tallies: &[Tally]| {
+        let sum = tallies.iter().fold((0.0, 0.0), |s, t| (s.0 + t.offered, s.1 + t.gained));
+        sum.1 / f64::max(sum.0, 1e-9)
+    };
+    let before = part(o.series.get(from / 2..from).unwrap_or_default());
+    let after = o.series.get(end..).unwrap_or_default();
+    let back = after.iter().position(|t| t.offered > 0.0 && t.part() >= 0.95 * before);
+    back.unwrap_or(after.len()) as f64 * o.piece_s
 }
 
 impl Figure {
     /// Its value in one run.
     pub fn of(self, o: &Outcome) -> f64 {
         let requests = (o.all.requests().max(1)) as f64;
+        let talked = o.talked.unwrap_or_default();
         let ends = |which: &[End]| which.iter().map(|e| o.all.ends[*e as usize]).sum::<u64>() as f64;
         match self {
             Figure::Worth => o.all.part() * 100.0,
@@ -82,6 +114,14 @@
             Figure::Kept => o.prompt.1 as f64 / (o.prompt.0.max(1)) as f64 * 100.0,
             Figure::Crossed => o.crossed as f64 / (o.attempts.max(1)) as f64 * 100.0,
             Figure::Broken => o.broken.sum() as f64,
+            Figure::Repeats => o.repeats as f64 / requests * 100.0,
+            Figure::Recovery => recovery(o),
+            Figure::Window => talked.worst_window,
+            Figure::Messages => talked.node.0,
+            Figure::Bytes => talked.node.1,
+            Figure::KeeperMessages => talked.keeper.0,
+            Figure::KeeperBytes => talked.keeper.1,
+            Figure::Without => talked.longest_without,
         }
     }
 }
--- a/src/transport/fleet/budgets.rs
+++ b/src/transport/fleet/budgets.rs
@@ -2,7 +2,7 @@
 //! to the core. The decisions are `poppykeel_fleet::budget`'s, and spending is the module's.
 
 use super::Fleet;
-use crate::interface::{Allowed, Budget, Spend};
+use crate::interface::{Allowed, Budget, Spend, Wanted};
 use crate::routing::{seconds, Micros};
 use crate::transport::messages::Message;
 use poppykeel_fleet::budget::{self, Count, Party};
@@ -44,6 +44,32 @@
         let known = NAMES.iter().find(|known| known.0 == name).map(|known| known.1);
         known.or_else(|| name.strip_prefix(TENANT).and_then(tenant))
     }
+
+    /// What the core may spend, by the party's clock at `now` and the core's at `core`.
+    pub fn allowed(&self, party: &Party, now: Micros, core: Micros) -> Allowed {
+        let thousandths = |x: u64| x as f64 / 1e3;
+        let all = party.settings().wholes.iter().filter_map(|(name, whole)| {
+            let (rate, burst, until) = party.share(name, now);
+            let budget = Budget {
+                rate: thousandths(rate),
+                burst: thousandths(burst),
+                floor: thousandths(whole.floor),
+                floor_burst: thousandths(whole.floor_burst),
+                until: seconds(core.saturating_add(until.saturating_sub(now))),
+            };
+            Some((self.spend(name)?, budget))
+        });
+        all.collect()
+    }
+
+    /// What the core has wanted, by the budgets' names.
+    pub fn counted(&self, wanted: &BTreeMap<Spend, Wanted>) -> BTreeMap<String, Count> {
+        let counted = self.settings.wholes.keys().filter_map(|name| {
+            let wanted = wanted.get(&self.spend(name)?)?;
+            Some((name.clone(), Count { units: (wanted.units * 1e3) as u64, worth: wanted.worth }))
+        });
+        counted.collect()
+    }
 }
 
 /// What this node knows of budgets.
@@ -109,20 +135,10 @@
     fn allowed(&self) -> Allowed {
         let (now, core) = (self.clock.now(), self.uptime());
         let (party, budgets) = (self.budgets.party.borrow(), self.budgets.budgets.borrow());
-        let (Some(party), Some(budgets)) = (&*party, &*budgets) else { return Allowed::new() };
-        let thousandths = |x: u64| x as f64 / 1e3;
-        let all = party.settings().wholes.iter().filter_map(|(name, whole)| {
-            let (rate, burst, until) = party.share(name, now);
-            let budget = Budget {
-                rate: thousandths(rate),
-                burst: thousandths(burst),
-                floor: thousandths(whole.floor),
-                floor_burst: thousandths(whole.floor_burst),
-                until: seconds(core.saturating_add(until.saturating_sub(now))),
-            };
-            Some((budgets.spend(name)?, budget))
-        });
-        all.collect()
+        match (&*party, &*budgets) {
+            (Some(party), Some(budgets)) => budgets.allowed(party, now, core),
+            _ => Allowed::new(),
+        }
     }
 
     /// What the core has wanted of each budget since it began.
@@ -130,13 +146,7 @@
         let (ask, told) = oneshot::channel();
         let asked = self.tell.send(Message::Wanted(ask)).await.is_ok();
         let wanted = told.await.ok().filter(|_| asked).unwrap_or_default();
-        let budgets = self.budgets.budgets.borrow();
-        let names = budgets.iter().flat_map(|b| b.settings.wholes.keys().map(move |name| (b, name)));
-        let counted = names.filter_map(|(budgets, name)| {
-            let wanted = wanted.get(&budgets.spend(name)?)?;
-            Some((name.clone(), Count { units: (wanted.units * 1e3) as u64, worth: wanted.worth }))
-        });
-        counted.collect()
+        self.budgets.budgets.borrow().as_ref().map(|budgets| budgets.counted(&wanted)).unwrap_or_default()
     }
 
     /// For operators.
