Attack all budgets between processes, explore the division, and ask for what is wanted alone

Need: the proof of budgets beyond retries: the dividing machine explored, the servers' records for probes and crossings, joins and leaves in waves, and how much of the whole is in use while demand moves. Causes: each node asked for a quarter more than it wanted, which in scarcity is taken from those who lack, and an earlier want faded too slowly (seven questions from ten to one). At fault: HEADROOM and MEMORY in Party.

--- a/crates/fleet/src/budget/divider.rs
+++ b/crates/fleet/src/budget/divider.rs
@@ -12,14 +12,14 @@
 /// A share stays as it is where what it should be differs by less than one part in so many.
 const DAMPING: u64 = 10;
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Given {
     share: u64,
     until: Micros,
     rates: Rates,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Known {
     given: Vec<Given>,
     wants: BTreeMap<String, Want>,
@@ -35,7 +35,7 @@
 }
 
 /// Whoever divides, under one epoch.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Divider {
     epoch: u64,
     shares: u64,
@@ -60,6 +60,12 @@
         Divider { epoch, shares: 0, length, drift, open_at, wholes, nodes: BTreeMap::new() }
     }
 
+    /// The same as if it had waited already.
+    #[cfg(test)]
+    pub(super) fn open(self) -> Divider {
+        Divider { open_at: 0, ..self }
+    }
+
     /// Its epoch.
     pub fn epoch(&self) -> u64 {
         self.epoch
@@ -92,7 +98,7 @@
         }
         let mut share = Rates::new();
         for (budget, whole) in &self.wholes {
-            let divided = whole.divided(self.drift);
+            let divided = self.divided(whole);
             let others = self.nodes.iter().filter(|(holder, _)| **holder != who);
             let others: u64 = others.map(|(_, known)| known.counted(budget, now)).sum();
             let free = divided.saturating_sub(others);
@@ -129,6 +135,12 @@
         })
     }
 
+    /// What is divided of a whole. Where more nodes speak than floors were planned for, theirs are taken out, too.
+    fn divided(&self, whole: &Whole) -> u64 {
+        let unplanned = (self.nodes.len() as u64).saturating_sub(u64::from(whole.most_nodes));
+        whole.divided(self.drift).saturating_sub(unplanned.saturating_mul(whole.floor))
+    }
+
     fn forget(&mut self, now: Micros) {
         let length = self.length;
         self.nodes.retain(|_, known| {
@@ -145,7 +157,7 @@
                 .iter()
                 .map(|(holder, known)| (holder.clone(), known.counted(budget, now)))
                 .collect();
-            let (given, divided) = (nodes.iter().map(|n| n.1).sum(), whole.divided(self.drift));
+            let (given, divided) = (nodes.iter().map(|n| n.1).sum(), self.divided(whole));
             let ends = self.nodes.values().flat_map(|known| known.given.iter().map(|g| g.until));
             let last = ends.max().unwrap_or(now).saturating_sub(now);
             let lowered_in = if given > divided { last } else { 0 };
--- a/crates/fleet/src/budget/mod.rs
+++ b/crates/fleet/src/budget/mod.rs
@@ -2,6 +2,8 @@
 //! the whole. Whoever holds the lease divides; a share counts against the whole until its node has shown that it has
 //! a newer one, or its time is over by the divider's clock. `docs/budgets.md` says what holds in exact words.
 
+#[cfg(test)]
+mod check;
 mod divider;
 mod party;
 mod shares;
@@ -19,7 +21,7 @@
 pub const MOST_BUDGETS: usize = 64;
 
 /// One budget as operators set it; rates in thousandths of a unit a second, bursts in thousandths of a unit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Whole {
     /// What the fleet may spend.
     pub rate: u64,
@@ -70,7 +72,7 @@
 }
 
 /// What a node wants of a budget, and what that is worth.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Want {
     /// In thousandths of a unit a second.
     pub rate: u64,
@@ -82,7 +84,7 @@
 pub type Rates = BTreeMap<String, u64>;
 
 /// What nodes and the divider say to each other.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Message {
     /// To the divider of this epoch.
     Ask {
@@ -141,7 +143,7 @@
 }
 
 /// A budget as it is divided, in thousandths of a unit a second.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Row {
     /// Its name.
     pub budget: String,
--- a/crates/fleet/src/budget/party.rs
+++ b/crates/fleet/src/budget/party.rs
@@ -7,9 +7,9 @@
 
 /// Questions in a share's time.
 const QUESTIONS: u64 = 4;
-/// What is asked for beyond what was wanted lately, in percent, and what of an earlier want is still asked for.
-const HEADROOM: u64 = 125;
-const MEMORY: u64 = 70;
+/// What of an earlier want is still asked for, in percent. Room beyond what is wanted comes from what is left over:
+/// asked for, it would be taken from those who lack.
+const MEMORY: u64 = 50;
 /// Worths are told in so many parts of one.
 const WORTH: f64 = 100.0;
 
@@ -27,7 +27,7 @@
 /// What has been wanted of a budget since the process began.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Count {
-    /// Units, got or not.
+    /// Thousandths of a unit, got or not.
     pub units: u64,
     /// What they were worth together.
     pub worth: f64,
@@ -70,16 +70,16 @@
         self.settings.wholes = wholes;
     }
 
-    /// What is wanted now: what was wanted since the last question and a little more, or most of what was before.
+    /// What is wanted now: what was wanted since the last question, or half of what was before.
     fn count(&mut self, counted: BTreeMap<String, Count>, now: Micros) {
         let span = self.counted_at.map_or(self.step(), |at| now.saturating_sub(at)).max(1);
         let wants = self.settings.wholes.keys().map(|name| {
             let count = counted.get(name).copied().unwrap_or_default();
             let before = self.counted.get(name).copied().unwrap_or_default();
             let units = count.units.saturating_sub(before.units);
-            let rate = u128::from(units) * 1_000_000_000 / u128::from(span) * u128::from(HEADROOM) / 100;
+            let rate = u128::from(units) * 1_000_000 / u128::from(span);
             let last = self.wants.get(name).copied().unwrap_or(Want { rate: 0, worth: WORTH as u32 });
-            let worth = (count.worth - before.worth) / units.max(1) as f64;
+            let worth = (count.worth - before.worth) / units.max(1) as f64 * 1e3;
             let worth = if units > 0 { ((worth * WORTH) as u32).max(1) } else { last.worth };
             let rate = u64::try_from(rate).unwrap_or(u64::MAX).max(last.rate.saturating_mul(MEMORY) / 100);
             (name.clone(), Want { rate, worth })
--- a/crates/fleet/src/budget/shares.rs
+++ b/crates/fleet/src/budget/shares.rs
@@ -8,7 +8,7 @@
 /// Questions that an answer may still come to.
 const MOST_ASKED: usize = 16;
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Current {
     id: (u64, u64),
     until: Micros,
@@ -16,7 +16,7 @@
 }
 
 /// A node's own shares.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Shares {
     me: Holder,
     drift: u32,
--- a/crates/lab/src/breaks/budgets.rs
+++ b/crates/lab/src/breaks/budgets.rs
@@ -1,16 +1,17 @@
-//! `break budgets`: nodes with a budget of retries for all of them, servers that fail in spans, and faults between the
-//! nodes. What is judged is what the stand-in servers wrote down: a request's second arrival is a retry or a copy.
+//! `break budgets`: nodes with budgets for all of them, servers that fail in spans, and faults between the nodes. What is
+//! judged is what the stand-in servers wrote down: a request's second arrival is a retry or a copy, a question how the
+//! server is a probe, and an arrival from a node of another zone a crossing.
 
 use super::faults::{Fault, Kind};
 use super::fleet::{Fleet, Shape};
 use super::history::History;
-use super::roll::holder_of;
+use super::roll::{call, holder_of};
 use super::Collector;
-use crate::sockets::Arrivals;
+use crate::sockets::{Arrival, Arrivals};
 use crate::Micros;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -21,12 +22,25 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
-/// From one request of a client to its next.
+/// From one request of a client to its next, at a node that gets the mean.
 const PAUSE: Duration = Duration::from_millis(30);
 /// An answer that takes longer is given up.
 const ANSWER: Duration = Duration::from_secs(4);
 /// What leaves a node in time may reach a server so much later than what left before it.
 const SLACK: f64 = 0.05;
+/// Of a request's id these bits name its node, from one on.
+const NODE: u32 = 40;
+
+/// How the budgets reach the nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Division {
+    /// By shares that follow what nodes want.
+    Shares,
+    /// In equal parts: the whole is the nodes' floors.
+    Equal,
+    /// Nobody counts.
+    None,
+}
 
 /// What is wanted.
 #[derive(Clone, Debug)]
@@ -39,10 +53,23 @@
     pub seed: u64,
     /// Only these kinds, or all.
     pub only: Vec<Kind>,
-    /// Retries a second of the whole fleet, and at once.
+    /// Retries a second of the whole fleet, and at once; crossings are twice that, probes half.
     pub whole: (f64, f64),
-    /// Whether the nodes have the budget at all.
-    pub with: bool,
+    /// How the nodes get it.
+    pub division: Division,
+    /// The first node gets so many times the requests of any other.
+    pub hot: f64,
+}
+
+/// What the servers' record says of one kind of work.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counted {
+    /// Arrivals.
+    pub count: usize,
+    /// The worst window as a part of its bound.
+    pub worst: f64,
+    /// Arrivals in the busiest second as a part of the rate.
+    pub busiest: f64,
 }
 
 /// What was found.
@@ -50,17 +77,37 @@
 pub struct Spent {
     /// Rounds played.
     pub rounds: usize,
-    /// Requests that reached servers, and arrivals beyond each one's first.
-    pub requests: usize,
+    /// Requests that clients sent, and of these the ones answered whole.
+    pub asked: usize,
     /// See there.
-    pub repeats: usize,
-    /// The worst window as a part of its bound.
-    pub worst: f64,
-    /// Repeats in the busiest second as a part of the rate: how much of the whole was in use.
-    pub use_of_whole: f64,
+    pub served: usize,
+    /// Requests that reached servers.
+    pub requests: usize,
+    /// Arrivals beyond a request's first.
+    pub repeats: Counted,
+    /// Questions how servers are.
+    pub probes: Counted,
+    /// Arrivals from another zone.
+    pub crossings: Counted,
+    /// Crossings that the nodes tell of; those of processes that were killed are lost with them.
+    pub reported: u64,
+    /// Units a second of the retries' whole that were neither with a node nor free once all was quiet, by the nodes' words.
+    pub lost: f64,
+}
+
+impl Spent {
+    /// The worst window of all kinds as a part of its bound.
+    pub fn worst(&self) -> f64 {
+        [self.repeats, self.probes, self.crossings].iter().map(|c| c.worst).fold(0.0, f64::max)
+    }
+    /// Windows that were looked at: each from one arrival to a later one of its kind.
+    pub fn windows(&self) -> u64 {
+        let pairs = |c: Counted| c.count as u64 * (c.count as u64 + 1) / 2;
+        [self.repeats, self.probes, self.crossings].map(pairs).iter().sum()
+    }
 }
 
-/// The most by which repeats in any window exceed the rate times its length.
+/// The most by which arrivals in any window exceed the rate times its length.
 fn most_beyond(times: &[Micros], rate: f64) -> f64 {
     let (mut level, mut last, mut most) = (0.0f64, 0, 0.0f64);
     for at in times {
@@ -70,24 +117,46 @@
     most
 }
 
+fn counted(times: &[Micros], (rate, burst): (f64, f64)) -> Counted {
+    let worst = most_beyond(times, rate) / (burst + rate * SLACK);
+    let busiest = (0..times.len()).map(|n| times[n..].partition_point(|t| t - times[n] < 1_000_000)).max();
+    Counted { count: times.len(), worst, busiest: busiest.unwrap_or(0) as f64 / rate }
+}
+
+/// The zone of the node that took a request first, by its id.
+fn zone_of(id: &str, zones: usize) -> usize {
+    let number = u64::from_str_radix(id, 16).unwrap_or(0) >> NODE;
+    (number as usize).saturating_sub(1) % zones
+}
+
 /// Judges what the servers wrote down, in the order of arrival.
-pub fn judge_budget(arrivals: &[(Micros, String)], whole: (f64, f64)) -> Spent {
+pub fn judge_budget(arrivals: &[Arrival], whole: (f64, f64), zones: usize) -> Spent {
     let mut seen = BTreeSet::new();
-    let times: Vec<Micros> = arrivals.iter().filter(|a| !seen.insert(&a.1)).map(|a| a.0).collect();
-    let bound = whole.1 + whole.0 * SLACK;
-    let worst = most_beyond(&times, whole.0) / bound;
-    let busiest = (0..times.len()).map(|n| times[n..].partition_point(|t| t - times[n] < 1_000_000)).max();
+    let (mut repeats, mut probes, mut crossings) = (Vec::new(), Vec::new(), Vec::new());
+    for arrival in arrivals {
+        let Some(id) = &arrival.id else {
+            probes.push(arrival.at);
+            continue;
+        };
+        if !seen.insert(id) {
+            repeats.push(arrival.at);
+        }
+        if zone_of(id, zones) != arrival.server % zones {
+            crossings.push(arrival.at);
+        }
+    }
+    let (rate, burst) = whole;
     Spent {
-        rounds: 0,
         requests: seen.len(),
-        repeats: times.len(),
-        worst,
-        use_of_whole: busiest.unwrap_or(0) as f64 / whole.0,
+        repeats: counted(&repeats, whole),
+        probes: counted(&probes, (rate / 2.0, burst)),
+        crossings: counted(&crossings, (rate * 2.0, burst * 2.0)),
+        ..Spent::default()
     }
 }
 
-/// One request; what comes of it is nobody's concern here.
-async fn request(at: SocketAddr, id: u64) {
+/// One request; true where it was answered whole.
+async fn request(at: SocketAddr, id: u64) -> bool {
     let body = r#"{"model":"lab","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"x"}]}"#;
     let asked = async {
         let mut stream = TcpStream::connect(at).await.ok()?;
@@ -98,18 +167,54 @@
         );
         stream.write_all(text.as_bytes()).await.ok()?;
         let mut answer = Vec::new();
-        stream.read_to_end(&mut answer).await.ok()
+        stream.read_to_end(&mut answer).await.ok()?;
+        Some(String::from_utf8_lossy(&answer).contains("[DONE]"))
     };
-    let _ = tokio::time::timeout(ANSWER, asked).await;
+    matches!(tokio::time::timeout(ANSWER, asked).await, Ok(Some(true)))
+}
+
+/// What clients have sent, and what was answered.
+#[derive(Default)]
+struct Served {
+    asked: Cell<usize>,
+    served: Cell<usize>,
+    end: Cell<bool>,
 }
 
 /// Clients of one node.
-async fn clients(at: SocketAddr, node: u64, end: Rc<Cell<bool>>) {
+async fn clients(at: SocketAddr, node: u64, pause: Duration, told: Rc<Served>) {
     let mut number = 0;
-    while !end.get() {
+    while !told.end.get() {
         number += 1;
-        spawn_local(request(at, (node + 1) << 40 | number));
-        tokio::time::sleep(PAUSE).await;
+        let own = told.clone();
+        spawn_local(async move {
+            own.asked.set(own.asked.get() + 1);
+            let whole = request(at, (node + 1) << NODE | number).await;
+            own.served.set(own.served.get() + usize::from(whole));
+        });
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// The budgets as operators would write them.
+fn written(wanted: &Budgeted) -> String {
+    let (rate, burst) = wanted.whole;
+    let nodes = wanted.shape.nodes as f64;
+    let line = |name: &str, part: f64, burst_part: f64| {
+        let (rate, burst) = (rate * part, burst * burst_part);
+        let (floor, floor_burst) = match wanted.division {
+            // What clocks may gain is out of the whole, too.
+            Division::Equal => (rate / nodes * 0.9, burst / nodes),
+            _ => (rate / nodes / 10.0, 1.0),
+        };
+        format!(
+            "{name} = {{ rate = {rate}, burst = {burst}, floor = {floor:.3}, floor_burst = {floor_burst:.3} }}\n"
+        )
+    };
+    let lines = line("retries", 1.0, 1.0) + &line("crossings", 2.0, 2.0) + &line("probes", 0.5, 1.0);
+    match wanted.division {
+        Division::None => String::new(),
+        _ => format!("[fleet.budgets]\nmost_nodes = {nodes}\nshare = \"1s\"\n{lines}"),
     }
 }
 
@@ -118,26 +223,46 @@
     let history = History::fresh(folder)?;
     history.add("run", json!({"seed": wanted.seed, "rounds": wanted.rounds}));
     let collector = Collector::start(history.clone(), true).await?;
-    let (rate, burst) = wanted.whole;
-    let text = format!(
-        "[fleet.budgets]\nmost_nodes = {}\nshare = \"1s\"\n\
-         retries = {{ rate = {rate}, burst = {burst}, floor = 0.2, floor_burst = 1 }}\n",
-        wanted.shape.nodes + 1
-    );
-    let shape = Shape { more: if wanted.with { text } else { String::new() }, ..wanted.shape.clone() };
+    let shape = Shape { more: written(wanted), ..wanted.shape.clone() };
     let fleet = Fleet::start(&shape, program, folder, history.clone(), collector.addr, wanted.seed).await?;
     let arrivals: Arrivals = fleet.arrivals();
-    let end: Rc<Cell<bool>> = Rc::default();
+    let told: Rc<Served> = Rc::default();
+    let mean = (wanted.hot + (shape.nodes - 1) as f64) / shape.nodes as f64;
     for (node, at) in fleet.serving().into_iter().enumerate() {
-        spawn_local(clients(at, node as u64, end.clone()));
+        let pause = PAUSE.mul_f64(if node == 0 { mean / wanted.hot } else { mean });
+        spawn_local(clients(at, node as u64, pause, told.clone()));
     }
     let played = play(wanted, &fleet, &history).await;
-    end.set(true);
+    told.end.set(true);
+    // What is under way ends; then all is quiet for as long as a share and a lease last.
+    tokio::time::sleep(ANSWER + shape.lease * 2).await;
+    let (reported, lost) = told_of(&fleet.admins()).await;
     fleet.end().await;
     let rounds = played?;
-    let spent = judge_budget(&arrivals.borrow(), wanted.whole);
+    let spent = judge_budget(&arrivals.borrow(), wanted.whole, shape.zones);
+    let (asked, served) = (told.asked.get(), told.served.get());
+    let spent = Spent { rounds, asked, served, reported, lost, ..spent };
     history.add("spent", json!(format!("{spent:?}")));
-    Ok(Spent { rounds, ..spent })
+    Ok(spent)
+}
+
+/// What the nodes tell: crossings since their starts, and what of the retries' whole is neither given nor free.
+async fn told_of(admins: &[SocketAddr]) -> (u64, f64) {
+    let (mut reported, mut shares, mut divided) = (0, 0.0, None);
+    for at in admins {
+        let json = |text: Option<(u16, String)>| {
+            text.and_then(|t| serde_json::from_str::<Value>(&t.1).ok()).unwrap_or(Value::Null)
+        };
+        let crossed = json(call(*at, "GET /api/crossings").await);
+        reported += crossed.as_array().into_iter().flatten().filter_map(|r| r["count"].as_u64()).sum::<u64>();
+        let status = json(call(*at, "GET /api/fleet").await);
+        let row = |list: &Value| list.as_array()?.iter().find(|b| b["budget"] == "retries").cloned();
+        let budgets = &status["budgets"];
+        shares += row(&budgets["own"]).and_then(|b| b["share"].as_f64()).unwrap_or(0.0);
+        let whole = row(&budgets["divided"]["budgets"]);
+        divided = whole.and_then(|b| Some((b["divided"].as_f64()?, b["free"].as_f64()?))).or(divided);
+    }
+    (reported, divided.map_or(0.0, |(divided, free)| divided - free - shares))
 }
 
 async fn play(wanted: &Budgeted, fleet: &Fleet, history: &History) -> Result<usize, String> {
--- a/crates/lab/src/breaks/faults.rs
+++ b/crates/lab/src/breaks/faults.rs
@@ -40,6 +40,10 @@
     LateAct,
     /// SIGSTOP of the holder while an act of its is under way, which arrives after it was woken.
     StopMidAct,
+    /// Half of the nodes leave in order in the same second, and come back together.
+    HalfLeave,
+    /// All nodes are ended in order and started again, one after the other.
+    Rolling,
     /// A keeper's disk is full, and the holder is killed, so that there is something to write.
     FullDisk,
     /// The same with syncs that fail.
@@ -50,7 +54,7 @@
 }
 
 impl Kind {
-    const ALL: [Kind; 19] = [
+    const ALL: [Kind; 21] = [
         Kind::KillHolder,
         Kind::KillNode,
         Kind::KillKeeper,
@@ -67,6 +71,8 @@
         Kind::Weather,
         Kind::LateAct,
         Kind::StopMidAct,
+        Kind::HalfLeave,
+        Kind::Rolling,
         Kind::FullDisk,
         Kind::FailedSync,
         Kind::NameTwice,
--- a/crates/lab/src/breaks/fleet.rs
+++ b/crates/lab/src/breaks/fleet.rs
@@ -21,6 +21,8 @@
 pub struct Shape {
     /// Processes.
     pub nodes: usize,
+    /// Zones; nodes and servers are spread over them in turn.
+    pub zones: usize,
     /// The first so many are keepers.
     pub keepers: usize,
     /// The lease's length.
@@ -44,6 +46,7 @@
         let (lease, every) = (Duration::from_secs(1), Duration::from_millis(20));
         Shape {
             nodes: 9,
+            zones: 1,
             keepers: 3,
             lease,
             drift: 50_000,
@@ -99,7 +102,7 @@
         let named = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
         let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xf1ee7);
         let mut run = Run::default();
-        (run.fleet.nodes, run.fleet.servers, run.fleet.zones) = (shape.nodes, 2, 1);
+        (run.fleet.nodes, run.fleet.servers, run.fleet.zones) = (shape.nodes, 2 * shape.zones, shape.zones);
         let run = run.check()?;
         let (mut models, mut entries) = (Vec::new(), Vec::new());
         let (since, arrivals) = (tokio::time::Instant::now(), Arrivals::default());
@@ -107,9 +110,9 @@
             let mut model = Model::start(run.fleet.server.clone()).await?;
             // Once more, so that the listener's own copy has the record, too.
             model.end();
-            model.record(since, &arrivals);
+            model.record(since, &arrivals, n);
             model.restart().await?;
-            let (name, zone) = (format!("m-{n}"), "z0".to_string());
+            let (name, zone) = (format!("m-{n}"), format!("z{}", n % shape.zones));
             entries.push(Entry { name, addr: model.addr, zone, state: "up", started_ms: 0 });
             models.push(model);
         }
@@ -332,6 +335,26 @@
                 self.acts[holder].set(Weather::default());
                 self.down(&[holder], late).await?;
             }
+            Kind::HalfLeave => {
+                // In order and in the same second; the last keeper majority stays.
+                let half: Vec<usize> = (keepers / 2..nodes).step_by(2).collect();
+                let leaving: Vec<Process> =
+                    half.iter().filter_map(|me| self.processes.borrow_mut()[*me].take()).collect();
+                self.history.add("leave", json!({"nodes": half}));
+                futures_util::future::join_all(leaving.into_iter().map(Process::end)).await;
+                tokio::time::sleep(span).await;
+                half.iter().try_for_each(|me| self.begin(*me))?;
+            }
+            Kind::Rolling => {
+                for me in 0..nodes {
+                    let process = self.processes.borrow_mut()[me].take();
+                    if let Some(process) = process {
+                        process.end().await;
+                    }
+                    self.begin(me)?;
+                    tokio::time::sleep(span / nodes as u32).await;
+                }
+            }
             Kind::StopMidAct => {
                 let on_its_way = span + self.shape.lease / 2;
                 self.acts[holder].set(Weather { delay: on_its_way, ..Weather::default() });
--- a/crates/lab/src/breaks/mod.rs
+++ b/crates/lab/src/breaks/mod.rs
@@ -12,7 +12,7 @@
 mod relay;
 mod roll;
 
-pub use budgets::{budgets, judge_budget, Budgeted, Spent};
+pub use budgets::{budgets, judge_budget, Budgeted, Counted, Division, Spent};
 pub use collector::{judge, Act, Collector, Verdict};
 pub use faults::{Fault, Kind};
 pub use fleet::Shape;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -82,9 +82,15 @@
     /// And at once
     #[arg(long, default_value_t = 20.0)]
     burst: f64,
-    /// Without the budget, for comparison
-    #[arg(long)]
-    without: bool,
+    /// How the budgets reach the nodes
+    #[arg(long, value_enum, default_value_t = breaks::Division::Shares)]
+    division: breaks::Division,
+    /// The first node gets so many times the requests of any other
+    #[arg(long, default_value_t = 1.0)]
+    hot: f64,
+    /// Zones
+    #[arg(long, default_value_t = 2)]
+    zones: usize,
     /// Only faults of these kinds
     #[arg(long, value_enum, value_delimiter = ',')]
     only: Vec<Kind>,
@@ -432,14 +438,32 @@
     fn run(&self) -> Result<bool, String> {
         let program = sockets::program(self.node.as_deref())?;
         let shape = Shape { nodes: self.nodes, every: std::time::Duration::from_secs(1), ..Shape::default() };
-        let (whole, with, only) = ((self.rate, self.burst), !self.without, self.only.clone());
-        let wanted = Budgeted { shape, rounds: self.rounds, seed: self.seed, only, whole, with };
+        let shape = Shape { zones: self.zones, ..shape };
+        let (whole, only, rounds) = ((self.rate, self.burst), self.only.clone(), self.rounds);
+        let (seed, division, hot) = (self.seed, self.division, self.hot);
+        let wanted = Budgeted { shape, rounds, seed, only, whole, division, hot };
         let found = on_sockets(breaks::budgets(&wanted, &program, &self.out))?;
+        for (name, c) in
+            [("repeats", found.repeats), ("probes", found.probes), ("crossings", found.crossings)]
+        {
+            println!(
+                "{name}: {} at the servers, worst window {:.2} of its bound, busiest second {:.2} of the rate",
+                c.count, c.worst, c.busiest
+            );
+        }
+        println!(
+            "requests {} of {} answered whole; crossings {} by the servers, {} by the nodes",
+            found.served, found.asked, found.crossings.count, found.reported
+        );
         println!(
-            "rounds {}, requests {}, repeats {}, worst window {:.2} of its bound, busiest second {:.2} of the rate, seed {}",
-            found.rounds, found.requests, found.repeats, found.worst, found.use_of_whole, self.seed
+            "rounds {}, windows checked {}, worst window {:.2} of its bound, units lost {:.1}, seed {}",
+            found.rounds,
+            found.windows(),
+            found.worst(),
+            found.lost,
+            self.seed
         );
-        Ok(found.worst <= 1.0)
+        Ok(found.worst() <= 1.0)
     }
 }
 
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -10,8 +10,8 @@
 
 pub(crate) use discovery::{Discovery, Entry};
 pub use load::play;
-pub use model::Arrivals;
 pub(crate) use model::Model;
+pub use model::{Arrival, Arrivals};
 pub(crate) use nodes::config;
 pub use nodes::program;
 pub use up::{up, Up};
--- a/crates/lab/src/sockets/model.rs
+++ b/crates/lab/src/sockets/model.rs
@@ -45,8 +45,19 @@
     tasks: Vec<AbortHandle>,
 }
 
-/// What servers wrote down of requests' arrivals: microseconds since the record began, and the request's id.
-pub type Arrivals = Rc<RefCell<Vec<(Micros, String)>>>;
+/// What a server wrote down.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Microseconds since the record began.
+    pub at: Micros,
+    /// Which server.
+    pub server: usize,
+    /// The request's id; None for a question how the server is.
+    pub id: Option<String>,
+}
+
+/// What servers wrote down, in the order of arrival.
+pub type Arrivals = Rc<RefCell<Vec<Arrival>>>;
 
 /// Arrivals that a record holds; later ones are left out.
 const MOST_ARRIVALS: usize = 4_000_000;
@@ -59,13 +70,23 @@
     inner: Rc<RefCell<Inner>>,
     changed: Rc<Notify>,
     /// Where arrivals are written down, and since when.
-    record: Option<(Instant, Arrivals)>,
+    record: Option<(Instant, Arrivals, usize)>,
 }
 
 impl Model {
     /// Writes down arrivals from now on; several servers may share a record. Set it before clients come.
-    pub fn record(&mut self, since: Instant, arrivals: &Arrivals) {
-        self.record = Some((since, arrivals.clone()));
+    pub fn record(&mut self, since: Instant, arrivals: &Arrivals, server: usize) {
+        self.record = Some((since, arrivals.clone(), server));
+    }
+
+    fn write_down(&self, id: Option<String>) {
+        if let Some((since, arrivals, server)) = &self.record {
+            let (at, server, mut arrivals) =
+                (since.elapsed().as_micros() as Micros, *server, arrivals.borrow_mut());
+            if arrivals.len() < MOST_ARRIVALS {
+                arrivals.push(Arrival { at, server, id });
+            }
+        }
     }
 
     /// Starts one on a free port.
@@ -237,16 +258,13 @@
             let Start::Request { target, .. } = &head.start else { return None };
             match target.split('?').next() {
                 Some("/v1/chat/completions") => {
-                    if let Some((since, arrivals)) = &self.record {
-                        let id = head.headers.get("Req-Id").unwrap_or_default().to_string();
-                        let mut arrivals = arrivals.borrow_mut();
-                        if arrivals.len() < MOST_ARRIVALS {
-                            arrivals.push((since.elapsed().as_micros() as Micros, id));
-                        }
-                    }
+                    self.write_down(Some(head.headers.get("Req-Id").unwrap_or_default().to_string()));
                     self.answer(&mut wire, &body).await?
                 }
-                Some("/load") => plain(&mut wire, 200, "", &self.report()).await?,
+                Some("/load") => {
+                    self.write_down(None);
+                    plain(&mut wire, 200, "", &self.report()).await?
+                }
                 Some("/healthz") => plain(&mut wire, 200, "", "{}").await?,
                 _ => plain(&mut wire, 404, "", "").await?,
             }
--- a/crates/lab/tests/breaks.rs
+++ b/crates/lab/tests/breaks.rs
@@ -1,8 +1,10 @@
 //! Several processes of the program under faults: never two holders, and soon one again. The verdict is the stand-in's.
 
 use poppykeel_lab::breaks::{
-    budgets, judge, judge_budget, roll, run, Act, Budgeted, Fault, Found, Kind, Roll, Shape, Wanted,
+    budgets, judge, judge_budget, roll, run, Act, Budgeted, Division, Fault, Found, Kind, Roll, Shape, Spent,
+    Wanted,
 };
+use poppykeel_lab::sockets::Arrival;
 use std::path::{Path, PathBuf};
 
 fn folder(name: &str) -> PathBuf {
@@ -165,37 +167,68 @@
     std::fs::remove_dir_all(folder).unwrap();
 }
 
-fn spend(seed: u64, rounds: usize, with: bool) -> poppykeel_lab::breaks::Spent {
-    let (folder, program) =
-        (folder(&format!("budgets-{with}")), Path::new(env!("CARGO_BIN_EXE_poppykeel-lab")));
-    let wanted = Budgeted { shape: Shape::default(), rounds, seed, only: vec![], whole: (20.0, 20.0), with };
+fn spend(name: &str, wanted: Budgeted) -> Spent {
+    let (folder, program) = (folder(name), Path::new(env!("CARGO_BIN_EXE_poppykeel-lab")));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let found = tokio::task::LocalSet::new().block_on(&runtime, budgets(&wanted, program, &folder)).unwrap();
-    println!("{with}: {found:?}");
+    println!("{name}: {found:?}");
     std::fs::remove_dir_all(folder).unwrap();
     found
 }
 
+fn budgeted(seed: u64, rounds: usize, only: &[Kind], division: Division) -> Budgeted {
+    let shape = Shape { zones: 2, ..Shape::default() };
+    Budgeted { shape, rounds, seed, only: only.to_vec(), whole: (20.0, 20.0), division, hot: 1.0 }
+}
+
+#[test]
+fn retries_probes_and_crossings_of_nine_processes_never_exceed_the_whole_by_the_servers_records() {
+    let found = spend("budgets-shares", budgeted(3, 5, &[], Division::Shares));
+    assert!(found.worst() <= 1.0, "{found:?}");
+    assert!(found.repeats.count > 0 && found.crossings.count > 0, "{found:?}");
+    // The record can show it: without budgets the same clients and servers go far beyond.
+    let without = spend("budgets-none", budgeted(3, 2, &[], Division::None));
+    assert!(without.worst() > 3.0, "{without:?}");
+}
+
+/// Half of the nodes leave in the same second and come back together, and all are restarted one after the other: who
+/// is back under the same name is a new holder, and what the one before had runs out first.
 #[test]
-fn retries_of_nine_processes_never_exceed_the_whole_by_the_servers_records() {
-    let found = spend(3, 5, true);
-    assert!(found.worst <= 1.0 && found.repeats > 0, "{found:?}");
-    // The record can show it: without the budget the same clients and servers go far beyond.
-    let without = spend(3, 2, false);
-    assert!(without.worst > 3.0, "{without:?}");
+fn leaves_in_waves_and_rolling_restarts_bring_no_burst_along() {
+    let found = spend("budgets-waves", budgeted(5, 2, &[Kind::HalfLeave, Kind::Rolling], Division::Shares));
+    assert!(found.worst() <= 1.0 && found.repeats.count > 0, "{found:?}");
 }
 
+/// While no process is killed, what the nodes tell of crossings is the servers' own count to the unit, and once all is
+/// quiet nothing of the whole is lost.
 #[test]
-fn the_servers_verdict_counts_a_requests_second_arrival_in_every_window() {
-    let arrival = |ms: u64, id: &str| (ms * 1000, id.to_string());
+fn crossings_told_are_the_servers_count_to_the_unit() {
+    let only = [Kind::StopHolder, Kind::CutHolder, Kind::CutOneWay, Kind::Weather];
+    let found = spend("budgets-crossings", budgeted(7, 3, &only, Division::Shares));
+    assert!(found.worst() <= 1.0 && found.crossings.count > 50, "{found:?}");
+    assert_eq!(found.reported, found.crossings.count as u64);
+    assert!(found.lost.abs() < 1.0, "{found:?}");
+}
+
+#[test]
+fn the_servers_verdict_counts_repeats_probes_and_crossings_in_every_window() {
+    let arrival = |ms: u64, node: u64, number: u64, server: usize| {
+        let id = Some(format!("{:016x}", node << 40 | number));
+        Arrival { at: ms * 1000, server, id }
+    };
     // Bound: 2 at once, 2 a second and a tenth for what comes late.
-    let whole = (2.0, 2.0);
-    let firsts = [arrival(0, "a"), arrival(1, "b"), arrival(2, "c")];
-    assert_eq!(judge_budget(&firsts, whole).repeats, 0);
-    let within = [&firsts[..], &[arrival(5, "a"), arrival(5, "a"), arrival(600, "b")]].concat();
-    assert!(judge_budget(&within, whole).worst <= 1.0);
-    let beyond = [&firsts[..], &[arrival(5, "a"), arrival(6, "a"), arrival(7, "b")]].concat();
-    assert!(judge_budget(&beyond, whole).worst > 1.0);
+    let judged = |arrivals: &[Arrival]| judge_budget(arrivals, (2.0, 2.0), 2);
+    let firsts = [arrival(0, 1, 1, 0), arrival(1, 1, 2, 0), arrival(2, 2, 1, 1)];
+    assert_eq!((judged(&firsts).repeats.count, judged(&firsts).crossings.count), (0, 0));
+    let again = |ms| arrival(ms, 1, 1, 0);
+    let within = [&firsts[..], &[again(5), again(5), again(600)]].concat();
+    assert!(judged(&within).worst() <= 1.0);
+    let beyond = [&firsts[..], &[again(5), again(6), again(7)]].concat();
+    assert!(judged(&beyond).repeats.worst > 1.0 && judged(&beyond).crossings.count == 0);
+    let crossed: Vec<Arrival> = (0..6).map(|n| arrival(n, 1, n, 1)).collect();
+    assert!(judged(&crossed).crossings.worst > 1.0);
+    let probes: Vec<Arrival> = (0..4).map(|n| Arrival { at: n, server: 0, id: None }).collect();
+    assert!(judged(&probes).probes.worst > 1.0);
 }
 
 /// Processes whose command line has this text.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -10,6 +10,8 @@
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{ask, read, Node};
 
@@ -102,6 +104,12 @@
             budget("{ rate = -1, burst = 20, floor = 1, floor_burst = 1 }"),
             "line 11: fleet.budgets.retries.rate",
         ),
+        (
+            budget("{ rate = 20, burst = 20, floor = 1, floor_burst = 1 }")
+                .replace("retries", "tenants.t0")
+                .replace("floor = 1", "floor = 9"),
+            "line 11: fleet.budgets.tenants.t0.floor",
+        ),
         (budget("{ rate = 20 }").replace("most_nodes = 10", "most_nodes = 0"), "line 11"),
     ]);
     for (text, place) in wrong {
@@ -111,6 +119,12 @@
     let alone = Operator::read(&good.replace("folder = \"x\"\n", "")).unwrap().fleet.unwrap();
     assert!(alone.place("n0", &[]).unwrap_err().contains("fleet.folder"));
     assert!(alone.place("n9", &[]).is_ok());
+    let tenant =
+        budget("{ rate = 20, burst = 20, floor = 1, floor_burst = 1 }").replace("retries", "tenants.t0");
+    let tenant = Operator::read(&tenant).unwrap().fleet.unwrap();
+    let error = tenant.place("n9", &["other".to_string()]).unwrap_err();
+    assert!(error.contains("fleet.budgets.tenants.t0") && error.contains("other"), "{error}");
+    assert!(tenant.place("n9", &["t0".to_string()]).is_ok());
 }
 
 /// One call at a node's operators' address.
@@ -238,3 +252,34 @@
     assert!(together.1 && alone.1, "{together:?} {alone:?}");
     assert!(together.0 * 2 < alone.0, "{together:?} {alone:?}");
 }
+
+/// Where the fleet allows two calls for the list a second, a node whose discovery closes every connection makes no more,
+/// and it goes on calling; without a budget it calls again after each pause.
+#[test]
+fn calls_for_the_list_are_spent_out_of_the_fleets_budget() {
+    let called = |name: &str, budget: &str| {
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let calls = Arc::new(AtomicUsize::new(0));
+        let (own, at) = (calls.clone(), discovery.local_addr().unwrap().to_string());
+        std::thread::spawn(move || {
+            for _ in discovery.incoming().flatten() {
+                own.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+        let server = Standin::start(vec![Script::default()]).unwrap();
+        let folder = std::env::temp_dir().join(format!("fleet-{name}-{}", std::process::id()));
+        let own = port();
+        let operator = fleet(own, own, &folder.display().to_string()) + budget;
+        let node = Node::with_list(name, server.addrs(), &operator, "safe", &at);
+        std::thread::sleep(Duration::from_secs(4));
+        drop(node);
+        std::fs::remove_dir_all(folder).unwrap();
+        calls.load(Ordering::Relaxed)
+    };
+    let free = called("calls-free", "");
+    let budget =
+        "[fleet.budgets]\nmost_nodes = 1\ndiscovery = { rate = 2, burst = 2, floor = 1, floor_burst = 1 }\n";
+    let bound = called("calls-bound", budget);
+    assert!(free > 20, "{free}");
+    assert!((2..=10).contains(&bound), "{bound}");
+}
