Hand what was learned from the old process of an upgrade to the new one

Change: the new process asks by a file in a folder that both have ($TMPDIR where set, [handover] folder), and the old one leaves a record there, once when asked and once more at SIGTERM; routing/handover.rs says when one is believed (format and sum, another process, at most 10 s old, the same kinds, classes and zones, no figure that nothing can have taught). Places that are not known are always taken, all else only from a process that has seen more requests.

--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -155,6 +155,53 @@
         Ok(())
     }
 
+    /// What has been learned, for the process that takes this one's place.
+    pub fn memory(&self) -> Memory {
+        let l = &self.learned;
+        Memory {
+            arrivals: self.arrivals,
+            quantum: l.quantum,
+            first: l.first,
+            hold_time: l.hold_time,
+            released: l.released.get(self.now),
+            sent: l.sent.get(self.now),
+            pool_part: self.pool.size / self.pool.warm.max(1) as f64,
+            paces: l.paces.iter().map(|(kind, pace)| (*kind, pace.0, pace.1)).collect(),
+            holds: l.holds.iter().map(|(kind, hold)| (*kind, *hold)).collect(),
+            batches: l.batches.iter().map(|(kind, batch)| (*kind, *batch)).collect(),
+            kept: l.kept,
+            tokens_a_second: l.tokens_a_second,
+            typical: l.typical,
+            places: l.places.all().map(|(session, at, read)| (session, at.0, read)).collect(),
+        }
+    }
+
+    /// Takes over what another process has learned: sessions' places that are not known here, and all else if that
+    /// process had seen more.
+    pub fn recall(&mut self, memory: &Memory) {
+        for (session, at, read) in &memory.places {
+            if self.learned.places.get(*session).is_none() {
+                self.learned.places.put(*session, ReplicaId(*at), *read);
+            }
+        }
+        if self.arrivals >= memory.arrivals {
+            return;
+        }
+        let (l, now) = (&mut self.learned, self.now);
+        (l.quantum, l.first, l.hold_time) = (memory.quantum, memory.first, memory.hold_time);
+        (l.kept, l.tokens_a_second, l.typical) = (memory.kept, memory.tokens_a_second, memory.typical);
+        l.paces = memory.paces.iter().map(|(kind, count, mean)| (*kind, (*count, *mean))).collect();
+        l.holds = memory.holds.iter().copied().collect();
+        l.batches = memory.batches.iter().copied().collect();
+        for (rate, learned) in [(&mut l.released, memory.released), (&mut l.sent, memory.sent)] {
+            (rate.value, rate.at) = (learned, now);
+        }
+        self.arrivals = memory.arrivals;
+        if self.pool.warm > 0 {
+            (self.pool.size, self.pool.fresh) = ((memory.pool_part * self.pool.warm as f64).max(1.0), false);
+        }
+    }
+
     pub(super) fn unpark(&mut self) {
         for id in std::mem::take(&mut self.parked) {
             self.hold(id, true);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -273,6 +273,46 @@
     pub worth: f64,
 }
 
+/// What a router has learned, for the process that takes its place. Replicas and kinds are named as in its settings.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Memory {
+    /// Requests that it has been learned from.
+    pub arrivals: u64,
+    /// Mean cost of a request.
+    pub quantum: f64,
+    /// Mean times to the first token and to the end.
+    pub first: Seconds,
+    pub hold_time: Seconds,
+    /// Cost released, and attempts sent, a second.
+    pub released: f64,
+    pub sent: f64,
+    /// Requests that may be out, for each warm replica.
+    pub pool_part: f64,
+    /// By kind: first tokens seen and their mean logarithm of pace, time that answers hold a place, places in a batch.
+    pub paces: Vec<(usize, f64, f64)>,
+    pub holds: Vec<(usize, Seconds)>,
+    pub batches: Vec<(usize, f64)>,
+    /// The parts of prompts that were found kept.
+    pub kept: [f64; 3],
+    pub tokens_a_second: Option<f64>,
+    pub typical: f64,
+    /// Sessions, where their last turn went, and the prompt tokens read there; the oldest first.
+    pub places: Vec<(u64, SocketAddr, f64)>,
+}
+
+impl Memory {
+    /// Whether all figures are such as a router may have learned: what comes from outside may be anything.
+    pub fn sane(&self) -> bool {
+        let figures = [self.quantum, self.first, self.hold_time, self.released, self.sent, self.pool_part];
+        let kinds = self.holds.iter().chain(&self.batches).map(|k| k.1);
+        let rest = kinds.chain(self.kept).chain(self.tokens_a_second).chain([self.typical]);
+        let all = figures.into_iter().chain(rest).chain(self.places.iter().map(|p| p.2));
+        let sound = |x: f64| (0.0..=1e9).contains(&x);
+        let paces = self.paces.iter().all(|p| sound(p.1) && (-30.0..=30.0).contains(&p.2));
+        paces && all.into_iter().all(sound) && self.hold_time > 0.0 && self.kept.iter().all(|k| *k <= 1.0)
+    }
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/program/config/operator.rs
+++ b/src/program/config/operator.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Deserializer};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// The longest time that a key takes: a year.
 const MOST_SPAN: Micros = 365 * 86_400_000_000;
@@ -29,6 +30,24 @@
     pub streams: Streams,
     /// What this node has to do with the others; without it nothing.
     pub fleet: Option<Fleet>,
+    /// What one process of the node leaves to the next.
+    pub handover: Handover,
+}
+
+/// What one process of the node leaves to the next.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Handover {
+    /// A folder that both have; `$TMPDIR` where that is set, and none if it is empty.
+    pub folder: Option<PathBuf>,
+}
+
+impl Handover {
+    /// The folder, if there is to be one.
+    pub fn folder(&self) -> Option<PathBuf> {
+        let folder = self.folder.clone().or_else(|| std::env::var_os("TMPDIR").map(PathBuf::from));
+        folder.filter(|folder| !folder.as_os_str().is_empty())
+    }
 }
 
 /// Answers that stream.
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -9,6 +9,7 @@
 use crate::transport::clock::Clock;
 use crate::transport::discovery::Watch;
 use crate::transport::fleet::Fleet;
+use crate::transport::handover::Handover;
 use crate::transport::hub::Hub;
 use crate::transport::listener::accept;
 use crate::transport::messages::{Message, Phase};
@@ -142,6 +143,13 @@
         Some(place) => Some(Fleet::start(place, tell.clone(), phase.clone(), clock).await?),
         None => None,
     };
+    let handover = operator.handover.folder().map(|folder| {
+        let handover = Handover::new(&folder, &config.name, boot.clone(), tell.clone(), clock);
+        Rc::new(handover)
+    });
+    if let Some(handover) = &handover {
+        spawn_local(handover.clone().run());
+    }
     let shared =
         Rc::new(Shared::new(boot.clone(), bounds.clone(), tell.clone(), phases.clone(), streams.clone()));
     spawn_local(accept(listener, shared.clone(), phases));
@@ -202,6 +210,9 @@
     if let Some(fleet) = &fleet {
         fleet.leave();
     }
+    if let Some(handover) = &handover {
+        handover.leave().await;
+    }
     let _ = phase.send(Phase::Draining);
     tokio::time::sleep(bounds.linger).await;
     let _ = phase.send(Phase::Closing);
--- /dev/null
+++ b/src/routing/handover.rs
@@ -0,0 +1,76 @@
+//! What one process of a node leaves to the next: when it is believed. Bytes in and out, no file and no clock.
+
+use crate::interface::Memory;
+use crate::wire::Names;
+use serde::{Deserialize, Serialize};
+
+/// What is older than this, in milliseconds, tells of a fleet that has moved on: sessions' turns have gone elsewhere.
+const MOST_AGE: i64 = 10_000;
+/// Two looks at one wall clock may be so far apart the wrong way, in milliseconds.
+const AHEAD: i64 = 1_000;
+/// The longest record: sixteen thousand sessions take less than half of it.
+pub const MOST: u64 = 2 << 20;
+const FORMAT: u8 = 1;
+
+/// Why a record is not believed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// Not a record, or one cut short.
+    Garbled,
+    /// Of another format.
+    Format(u8),
+    /// This process wrote it itself.
+    Own,
+    /// Of this many milliseconds ago.
+    Age(i64),
+    /// Its kinds, classes or zones are others.
+    OtherSite,
+    /// A figure that nothing can have taught.
+    Absurd,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Record {
+    format: u8,
+    from: u64,
+    unix_ms: i64,
+    site: (Vec<String>, Vec<String>, Vec<String>),
+    memory: Memory,
+}
+
+fn site(names: &Names) -> (Vec<String>, Vec<String>, Vec<String>) {
+    (names.kinds.clone(), names.classes.clone(), names.zones.clone())
+}
+
+/// A record as it is left: `from` tells this process from others, `unix_ms` is now.
+pub fn write(from: u64, unix_ms: i64, names: &Names, memory: Memory) -> Vec<u8> {
+    let record = Record { format: FORMAT, from, unix_ms, site: site(names), memory };
+    let bytes = postcard::to_stdvec(&record).unwrap_or_default();
+    let sum = crc32fast::hash(&bytes).to_le_bytes();
+    [&sum[..], &bytes].concat()
+}
+
+/// Reads a record as the process `me` finds it now.
+///
+/// # Errors
+/// Why it is not believed.
+pub fn read(bytes: &[u8], me: u64, unix_ms: i64, names: &Names) -> Result<Memory, Doubt> {
+    let (sum, rest) = bytes.split_first_chunk::<4>().ok_or(Doubt::Garbled)?;
+    if crc32fast::hash(rest).to_le_bytes() != *sum {
+        return Err(Doubt::Garbled);
+    }
+    match rest.first() {
+        Some(&FORMAT) => {}
+        Some(format) => return Err(Doubt::Format(*format)),
+        None => return Err(Doubt::Garbled),
+    }
+    let record: Record = postcard::from_bytes(rest).map_err(|_| Doubt::Garbled)?;
+    let age = unix_ms.saturating_sub(record.unix_ms);
+    match record {
+        Record { from, .. } if from == me => Err(Doubt::Own),
+        _ if !(-AHEAD..=MOST_AGE).contains(&age) => Err(Doubt::Age(age)),
+        Record { site: of, .. } if of != site(names) => Err(Doubt::OtherSite),
+        Record { memory, .. } if !memory.sane() => Err(Doubt::Absurd),
+        Record { memory, .. } => Ok(memory),
+    }
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,9 +1,11 @@
 //! The core: it owns the module, the requests, their attempts and all timers. Events with a time come in,
 //! commands go out; it knows no socket and no HTTP. Everything that is decided is decided by the module.
-//! `directory` is the account of membership in the module's terms, `crossings` that of traffic between zones.
+//! `directory` is the account of membership in the module's terms, `crossings` that of traffic between zones, `handover` what one
+//! process leaves to the next.
 
 pub mod crossings;
 pub mod directory;
+pub mod handover;
 
 use crate::interface::*;
 use crate::Brain;
@@ -218,6 +220,14 @@
     pub fn wanted(&self) -> BTreeMap<Spend, Wanted> {
         self.brain.wanted()
     }
+    /// What the module has learned, for the process that takes this one's place.
+    pub fn memory(&self) -> Memory {
+        self.brain.memory()
+    }
+    /// Takes over what another process has learned.
+    pub fn recall(&mut self, memory: &Memory) {
+        self.brain.recall(memory);
+    }
     /// Each listed replica: whether it gets trials only, and when its last answer came, if nothing has failed since.
     pub fn standings(&self) -> Vec<(ReplicaId, bool, Option<Micros>)> {
         let micros = |s: f64| (s * 1e6) as Micros;
--- a/src/state/learned.rs
+++ b/src/state/learned.rs
@@ -34,6 +34,10 @@
     pub(crate) fn get(&self, session: u64) -> Option<(ReplicaId, f64)> {
         self.at.get(&session).copied()
     }
+    /// The oldest first.
+    pub(crate) fn all(&self) -> impl Iterator<Item = (u64, ReplicaId, f64)> + '_ {
+        self.order.iter().filter_map(|session| self.get(*session).map(|p| (*session, p.0, p.1)))
+    }
     pub(crate) fn put(&mut self, session: u64, replica: ReplicaId, tokens: f64) {
         if self.at.insert(session, (replica, tokens)).is_none() {
             self.order.push_back(session);
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -117,6 +117,11 @@
                 let _ = told.send(crossings.by_minute().map(|row| self.named(row)).collect());
                 return;
             }
+            Message::Learned(told) => {
+                let _ = told.send(self.router.memory());
+                return;
+            }
+            Message::Recall(memory) => return self.router.recall(&memory),
             Message::Figures(figures) => {
                 let _ = figures.send(self.figures());
                 return;
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -1,6 +1,6 @@
 //! What drivers tell each other. Everything here is plain data; each driver uses this file and those below it.
 
-use crate::interface::{Allowed, Arrival, ReplicaId, RequestId, Spend, Wanted};
+use crate::interface::{Allowed, Arrival, Memory, ReplicaId, RequestId, Spend, Wanted};
 use crate::protocol::admin::Figures;
 use crate::routing::directory::Members;
 use crate::routing::{Input, Micros};
@@ -105,6 +105,10 @@
     Wanted(oneshot::Sender<BTreeMap<Spend, Wanted>>),
     /// An operator asks for the account of crossings.
     Crossings(oneshot::Sender<Vec<Crossed>>),
+    /// What has been learned is to be handed to another process of this node.
+    Learned(oneshot::Sender<Memory>),
+    /// Another process of this node has handed over what it had learned.
+    Recall(Box<Memory>),
     /// An operator asks for the figures.
     Figures(oneshot::Sender<Figures>),
     /// New settings for the core; answered once they hold.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod discovery;
 pub mod fleet;
+pub mod handover;
 pub mod hub;
 pub mod listener;
 pub mod messages;
--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -199,3 +199,23 @@
     let made: usize = (1..=30).map(|n| sends(&rig.end(n, 0, Outcome::Full, false)).len()).sum();
     assert!(made <= 1, "{made}");
 }
+
+/// One tenant's burst takes nothing of another's: each has a budget of its own, and what is beyond it waits behind.
+#[test]
+fn a_tenants_burst_leaves_the_others_within_their_shares() {
+    let mut rig = Rig::new(settings(), 8);
+    let full = rig.fill();
+    let each = Budget { rate: 10.0, burst: 10.0, ..NONE };
+    rig.allow([(Spend::Tenant(0), each), (Spend::Tenant(1), each)]);
+    rig.wait(1.5);
+    for n in 1..=60 {
+        rig.tell(Event::Arrived(request(n, 0, 0, 20.0)));
+    }
+    for n in 101..=108 {
+        rig.tell(Event::Arrived(request(n, 0, 1, 20.0)));
+    }
+    let ends = (1000..1000 + full).map(|n| rig.end(n, 0, Outcome::Served, true));
+    let order: Vec<u64> = ends.flat_map(|out| sends(&out)).map(|s| s.0).collect();
+    let last = (101..=108).filter_map(|n| order.iter().position(|o| *o == n)).max().unwrap_or(usize::MAX);
+    assert!(last < 20, "the eighth of the other tenant leaves at place {last} of {order:?}");
+}
