--- a/crates/fleet/tests/budget.rs
+++ b/crates/fleet/tests/budget.rs
@@ -5,6 +5,7 @@
 use poppykeel_fleet::budget::{divide, Divider, Message, Shares, Want, Whole};
 use poppykeel_fleet::lease::Holder;
 use proptest::prelude::*;
+use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
 use std::collections::BTreeMap;
 
 const NODES: usize = 6;
@@ -205,29 +206,60 @@
     }
 }
 
-proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, ..ProptestConfig::default() })]
-    #[test]
-    fn all_together_never_may_spend_more_than_the_whole(steps in proptest::collection::vec(step(), 1..160)) {
-        let mut world = World::new(Without::Nothing);
-        for step in steps {
-            world.play(step);
-            prop_assert!(world.spend() <= WHOLE.rate, "{} at {}", world.spend(), world.now);
-        }
-        // Quiet: all ask, nothing is lost. Within one lease nothing of the whole is lost either.
+/// What must hold needs no memory of its own: any sequence of steps is allowed.
+#[derive(Clone, Debug)]
+struct Any;
+
+impl ReferenceStateMachine for Any {
+    type State = Any;
+    type Transition = Step;
+    fn init_state() -> BoxedStrategy<Any> {
+        Just(Any).boxed()
+    }
+    fn transitions(_: &Any) -> BoxedStrategy<Step> {
+        step().boxed()
+    }
+    fn apply(state: Any, _: &Step) -> Any {
+        state
+    }
+}
+
+impl StateMachineTest for World {
+    type SystemUnderTest = World;
+    type Reference = Any;
+    fn init_test(_: &Any) -> World {
+        World::new(Without::Nothing)
+    }
+    fn apply(mut world: World, _: &Any, step: Step) -> World {
+        world.play(step);
+        world
+    }
+    fn check_invariants(world: &World, _: &Any) {
+        assert!(world.spend() <= WHOLE.rate, "{} at {}", world.spend(), world.now);
+    }
+    /// Quiet: all ask, and within one share's time nothing of the whole is lost.
+    fn teardown(mut world: World, state: Any) {
         for _ in 0..12 {
             world.now += LENGTH / 4;
             (0..NODES).for_each(|node| world.ask(node, 50_000));
             while let Some(item) = world.wire.pop() {
                 world.deliver(item);
-                prop_assert!(world.spend() <= WHOLE.rate);
+                World::check_invariants(&world, &state);
             }
         }
         let divided = WHOLE.divided(DRIFT);
         let floors = WHOLE.floor * u64::from(WHOLE.most_nodes);
-        prop_assert!(world.spend() - floors >= divided * 9 / 10, "{} of {divided}", world.spend());
+        assert!(world.spend() - floors >= divided * 9 / 10, "{} of {divided}", world.spend());
     }
+}
 
+prop_state_machine! {
+    #![proptest_config(ProptestConfig { cases: 500, ..ProptestConfig::default() })]
+    #[test]
+    fn all_together_never_may_spend_more_than_the_whole(sequential 1..160 => World);
+}
+
+proptest! {
     #[test]
     fn a_division_is_within_the_whole_and_fair(
         whole in 0u64..1_000_000,
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -109,3 +109,19 @@
     let out = run_to(&mut router, 2_000_000);
     assert!(!out.contains(&Command::Abandon { request: R, attempt: 0 }), "{out:?}");
 }
+
+/// The account of crossings: by minute, class and tenant, an hour of minutes, and all of it in the totals.
+#[test]
+fn crossings_are_counted_by_minute_and_the_oldest_minutes_leave_the_table_alone() {
+    let mut crossings = poppykeel::routing::crossings::Crossings::default();
+    for minute in 0..70i64 {
+        (0..=minute % 3).for_each(|n| crossings.add(minute * 60_000_000 + n, 0, 1));
+        crossings.add(minute * 60_000_000 + 59_999_999, 1, 0);
+    }
+    let rows: Vec<_> = crossings.by_minute().collect();
+    assert_eq!((rows.len(), rows[0], rows[1]), (120, (10, 0, 1, 2), (10, 1, 0, 1)));
+    assert_eq!(crossings.totals().collect::<Vec<_>>(), [(0, 1, 139), (1, 0, 70)]);
+    // A clock set back by a year begins its minutes anew, and the table stays bounded.
+    (0..5).for_each(|n| crossings.add(n * 60_000_000, 0, 0));
+    assert!(crossings.by_minute().map(|r| r.0).collect::<std::collections::BTreeSet<_>>().len() <= 60);
+}
