--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -47,7 +47,8 @@
                  target = '^(?<kind>[a-z]+)-[0-9]+\\.(?<zone>[a-z]+)\\.'\nzones = { surco = \"lima-surco\" }";
     assert_eq!(example, Operator::read(least).unwrap());
     // Those without a default are there as comments that can be read.
-    let all = text.replace("# discovery = \"", "discovery = \"").replace("# drain_priority", "drain_priority");
+    let all =
+        text.replace("# discovery = \"", "discovery = \"").replace("# drain_priority", "drain_priority");
     let all = all.replace("# weight_unit", "weight_unit");
     let srv = Operator::read(&all).unwrap().membership.unwrap().srv.unwrap();
     assert_eq!((srv.drain_priority, srv.weight_unit), (Some(65535), Some(10.0)));
