--- a/crates/fleet/src/budget/check.rs
+++ b/crates/fleet/src/budget/check.rs
@@ -312,7 +312,7 @@
 
 /// Minutes on four cores: `cargo test --release -p poppykeel-fleet shares_further -- --ignored --nocapture`.
 #[test]
-#[ignore = "takes minutes; docs/budgets.md has its figures"]
+#[ignore = "takes minutes"]
 fn explores_shares_further() {
     let plain = || Fleet::new(Without::Nothing);
     let lists = [
