--- a/crates/fleet/tests/budget.rs
+++ b/crates/fleet/tests/budget.rs
@@ -376,6 +376,11 @@
         let floor = if rate == 0 { 0 } else { WHOLE.floor };
         let whole = Whole { rate, floor, ..WHOLE };
         world.divider.set([("b".to_string(), whole)].into());
+        // Operators are told by when it is reached.
+        let row = world.divider.table(world.divider_now()).remove(0);
+        let lowered = row.given > row.divided;
+        assert_eq!(lowered, (1..=LENGTH).contains(&row.lowered_in), "{rate}: {row:?}");
+        assert!(lowered || rate < 30_000, "{row:?}");
         assert!(turn(&mut world, 5) <= whole.divided(DRIFT), "{rate}");
     }
 }
