Open a watch anew at once when it falls silent; poll a pushed list's agent shortly

Replayed with logs: node n0's call began at 0.286 s and ended as 'no answer in time' at 21.786 s, and the list was told again at 24.866 s, 3.1 s later; n1 22.288 and 24.725. What a silent watch misses counts as told 2 s after its wait is over, 22.286 s for n0; with 0.75 s for draining, sends from 23.09 s on were too late.

Ruled out: a slow answer (the new call was answered within a millisecond), a late connection (attempts to the drained servers had connected at once). At fault: WATCH_SLACK of 1.5 s in program/config/mod.rs, and that transport/discovery.rs told the module of silence as of a refusal, whose pause (brain.rs, ListFailed) is a tenth to half of askEvery: 1 to 5 s.

Changed: a call that goes unanswered is made anew at once on a new connection, as a short one (timeout_ms=0); when that is silent too, or where the service refuses or resets, asking again stays the module's, so that a service that is down meets no herd. Silence is noticed 1 s after the wait. Where lists are pushed the agent answers at no cost: it is polled for 1 s at a time, and after silence by short calls.

Tests: tests/watch.rs, five cases against a service on a socket; three were seen to fail without the change, the other two (reset, moved) guard what must stay.

--- a/src/program/config/mod.rs
+++ b/src/program/config/mod.rs
@@ -32,7 +32,14 @@
 const PROBE: Duration = Duration::from_millis(250);
 /// Discovery is one slow service for all nodes: one long wait costs it less than many short ones.
 const WATCH: Duration = Duration::from_secs(20);
-const WATCH_SLACK: Duration = Duration::from_millis(1500);
+/// A watch that has fallen silent is broken 2 s after its wait, and a server may be left out of by then. The new
+/// call must be answered within the rest of that, and a service that works through calls in turn may take a second
+/// for either.
+const WATCH_SLACK: Duration = Duration::from_millis(1000);
+/// An agent on this machine answers at once and at no cost: a short wait finds a silent one early ...
+const AGENT_WATCH: Duration = Duration::from_millis(1000);
+/// ... and no answer of it is later than this.
+const AGENT_SLACK: Duration = Duration::from_millis(500);
 /// Clients keep coming for up to 0.4 s after the order to stop.
 const LINGER: Duration = Duration::from_millis(700);
 
@@ -97,6 +104,7 @@
                 return Err(format!("config: settings.limits.{key}: expected seconds, at most a day"));
             }
         }
+        let pushed = boot.settings.discovery == crate::interface::Discovery::Pushed;
         let bounds = Bounds {
             clients: half as usize,
             upstream: half as usize,
@@ -107,8 +115,8 @@
             client_idle: CLIENT_IDLE,
             read: READ,
             probe: PROBE,
-            watch: WATCH,
-            watch_slack: WATCH_SLACK,
+            watch: if pushed { AGENT_WATCH } else { WATCH },
+            watch_slack: if pushed { AGENT_SLACK } else { WATCH_SLACK },
             linger: LINGER,
         };
         Ok(Config {
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -1,7 +1,8 @@
-//! The watch of discovery's list: one call after the other on one connection, each with a time limit of its
-//! own. Where the list is asked for, a call that fails ends the watch and when it starts again is the module's to
-//! say. Where it is pushed, the address is an agent on the node's own machine that answers at no cost: the watch
-//! runs from the start and calls again by itself after a short pause.
+//! The watch of discovery's list: one long poll after the other on one connection, each with a time limit of its
+//! own. Where the list is asked for, a call that is refused or reset ends the watch and when it starts again is the
+//! module's to say; one that falls silent is made anew at once, since the service may well be there and the
+//! connection alone is broken. Where the list is pushed, the address is an agent on the node's own machine that
+//! answers at no cost: the watch runs from the start and calls again by itself after a short pause.
 
 use super::clock::Clock;
 use super::messages::{Message, LIST};
@@ -47,6 +48,8 @@
     lately: Rc<RefCell<Option<String>>>,
     /// The list is pushed: the watch never waits for the module.
     pushed: bool,
+    /// The last call went unanswered: the next one asks for what is there now and waits for nothing more.
+    unanswered: Rc<Cell<bool>>,
     /// What the fleet allows of calls.
     calls: Rc<RefCell<Spendings>>,
     clock: Clock,
@@ -57,7 +60,21 @@
     pub fn new(addr: SocketAddr, bounds: Rc<Bounds>, tell: mpsc::Sender<Message>, clock: Clock) -> Self {
         let (moved, running, version, lately, calls) = Default::default();
         let (addr, enabled, pushed) = (Rc::new(Cell::new(addr)), Rc::new(Cell::new(true)), false);
-        Watch { addr, moved, bounds, tell, running, enabled, version, lately, pushed, calls, clock }
+        let unanswered = Rc::default();
+        Watch {
+            addr,
+            moved,
+            bounds,
+            tell,
+            running,
+            enabled,
+            version,
+            lately,
+            pushed,
+            unanswered,
+            calls,
+            clock,
+        }
     }
 
     /// The same watch where the list is pushed: it runs from now on, whether or not the module asks.
@@ -129,15 +146,26 @@
         }
     }
 
+    /// How long the next call may wait at the service. Silence shows only after a whole long poll: so after a call
+    /// that went unanswered the next one is a short one, and whether anybody answers is known at once.
+    fn wait(&self) -> Duration {
+        if self.unanswered.get() {
+            Duration::ZERO
+        } else {
+            self.bounds.watch
+        }
+    }
+
     /// Calls until a call fails, and tells the core that it did; whether to call again by itself.
     async fn watch(&self) -> bool {
         let mut wire = None;
-        let limit = self.bounds.watch + self.bounds.watch_slack;
         let why = loop {
             if !self.enabled.get() {
                 self.running.set(false);
                 return false;
             }
+            let wait = self.wait();
+            let limit = wait + self.bounds.watch_slack;
             let call = tokio::select! {
                 biased;
                 () = self.moved.notified() => {
@@ -146,11 +174,12 @@
                 }
                 call = async {
                     self.permitted().await;
-                    tokio::time::timeout(limit, self.call(&mut wire)).await
+                    tokio::time::timeout(limit, self.call(&mut wire, wait)).await
                 } => call,
             };
             match call {
                 Ok(Ok(update)) => {
+                    self.unanswered.set(false);
                     if self.lately.replace(None).is_some() {
                         tracing::info!(source = LIST, "told again");
                     }
@@ -163,6 +192,12 @@
                     }
                 }
                 Ok(Err(why)) => break why,
+                // Silence is not a refusal: the list goes on without this node until it has called anew, and what
+                // it misses counts as told. One new call, and no more: a service that is cut off stays silent.
+                Err(_) if !self.unanswered.replace(true) => {
+                    tracing::info!(source = LIST, "the watch fell silent and is opened anew");
+                    wire = None;
+                }
                 Err(_) => break "no answer in time".to_string(),
             }
         };
@@ -177,7 +212,7 @@
         self.pushed && told.is_ok()
     }
 
-    async fn call(&self, wire: &mut Option<Wire>) -> Result<Update, String> {
+    async fn call(&self, wire: &mut Option<Wire>, wait: Duration) -> Result<Update, String> {
         let mut conn = match wire.take() {
             Some(conn) => conn,
             None => {
@@ -188,7 +223,7 @@
                 Framed::new(socket, Http::new(Side::Client))
             }
         };
-        let (since, wait) = (self.version.get(), self.bounds.watch.as_millis());
+        let (since, wait) = (self.version.get(), wait.as_millis());
         let target = format!("/v1/servers?since={since}&timeout_ms={wait}");
         let get = request::get(&target, &self.addr.get().to_string());
         conn.send(Out::Raw(get)).await.map_err(|e| e.to_string())?;
--- /dev/null
+++ b/tests/watch.rs
@@ -0,0 +1,169 @@
+//! The watch of discovery's list against a service on a real socket that falls silent, resets or moves when told.
+
+use poppykeel::program::config::Config;
+use poppykeel::transport::clock::Clock;
+use poppykeel::transport::discovery::Watch;
+use poppykeel::transport::messages::Message;
+use poppykeel::transport::Bounds;
+use poppykeel_membership::Told;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+/// Only a hang runs into this.
+const PATIENCE: Duration = Duration::from_secs(20);
+const NOTHING: &str = r#"{"version":41,"full":false,"servers":[]}"#;
+const DRAIN: &str = r#"{
+  "version": 42,
+  "full": false,
+  "servers": [
+    {"id": "s-1", "addr": "127.0.0.1:1", "zone": "a", "kind": "k", "cell": 0, "state": "draining"}
+  ]
+}"#;
+
+/// The node's bounds but for a long poll that is over soon, with `slack` for the answer.
+fn bounds(slack: Duration) -> Rc<Bounds> {
+    let config = include_str!("exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
+    let config = Config::read(&config.replace("DISCOVERY", "127.0.0.1:2"), &[]).unwrap();
+    Rc::new(Bounds { watch: Duration::from_millis(50), watch_slack: slack, ..config.bounds })
+}
+
+/// Takes the next call, on the connection given or on a new one.
+async fn called(service: &TcpListener, on: Option<TcpStream>) -> (TcpStream, String) {
+    let call = async {
+        let mut stream = match on {
+            Some(stream) => stream,
+            None => service.accept().await.unwrap().0,
+        };
+        let mut text = Vec::new();
+        while !text.ends_with(b"\r\n\r\n") {
+            text.push(stream.read_u8().await.unwrap());
+        }
+        (stream, String::from_utf8(text).unwrap())
+    };
+    tokio::time::timeout(PATIENCE, call).await.expect("the node calls")
+}
+
+async fn answer(stream: &mut TcpStream, body: &str) {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all((head + body).as_bytes()).await.unwrap();
+}
+
+async fn told(core: &mut mpsc::Receiver<Message>) -> Told {
+    match tokio::time::timeout(PATIENCE, core.recv()).await.expect("the core is told") {
+        Some(Message::Told { told, .. }) => told,
+        _ => panic!("something else was told"),
+    }
+}
+
+/// One watch of a service: what the service sees, and what the core is told.
+async fn watching(slack: Duration, pushed: bool) -> (TcpListener, Watch, mpsc::Receiver<Message>) {
+    let service = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (tell, core) = mpsc::channel(16);
+    let watch = Watch::new(service.local_addr().unwrap(), bounds(slack), tell, Clock::start());
+    watch.version(41);
+    let watch = if pushed { watch.pushed() } else { watch };
+    watch.start();
+    (service, watch, core)
+}
+
+/// Guards against a node that sends on to servers that drain: the wait for the module's next turn to ask, after the
+/// silence itself, was up to half of what the settings give for asking.
+#[tokio::test]
+async fn a_watch_that_falls_silent_is_opened_anew_before_the_core_hears_of_a_failure() {
+    let test = async {
+        for begun in ["", "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"version\":42,\"full\""] {
+            let (service, _watch, mut core) = watching(Duration::from_secs(2), false).await;
+            let (mut silent, text) = called(&service, None).await;
+            assert!(text.starts_with("GET /v1/servers?since=41&timeout_ms=50 "), "{text}");
+            // It stays open and says nothing more: also in the middle of an answer.
+            silent.write_all(begun.as_bytes()).await.unwrap();
+            let (mut anew, text) = called(&service, None).await;
+            assert!(text.starts_with("GET /v1/servers?since=41&timeout_ms=0 "), "{text}");
+            answer(&mut anew, DRAIN).await;
+            let Told::Changes(changes) = told(&mut core).await else { panic!("the core heard of a failure") };
+            assert_eq!(changes[0].name, "s-1");
+            // From here on it waits again, on the connection that answers.
+            let (_anew, text) = called(&service, Some(anew)).await;
+            assert!(text.starts_with("GET /v1/servers?since=42&timeout_ms=50 "), "{text}");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a herd on a service that is cut off: one new call, and then when to ask is the module's to say.
+#[tokio::test]
+async fn a_service_that_stays_silent_gets_one_new_call_and_is_then_left_to_the_module() {
+    let test = async {
+        let (service, watch, mut core) = watching(Duration::from_millis(200), false).await;
+        let _silent = called(&service, None).await;
+        let (_silent_too, text) = called(&service, None).await;
+        assert!(text.contains("timeout_ms=0 "), "{text}");
+        assert_eq!(told(&mut core).await, Told::Failed);
+        let none = tokio::time::timeout(Duration::from_millis(300), service.accept()).await;
+        assert!(none.is_err(), "called again unasked");
+        // Asked to, it finds out at once whether anybody answers.
+        watch.start();
+        let (mut anew, text) = called(&service, None).await;
+        assert!(text.contains("timeout_ms=0 "), "{text}");
+        answer(&mut anew, NOTHING).await;
+        assert_eq!(told(&mut core).await, Told::Changes(Vec::new()));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a herd on a service that went down: its watches end together, and must not come back together.
+#[tokio::test]
+async fn a_watch_that_is_reset_is_the_modules_to_open() {
+    let test = async {
+        let (service, _watch, mut core) = watching(Duration::from_secs(2), false).await;
+        let (reset, _) = called(&service, None).await;
+        reset.set_zero_linger().unwrap();
+        drop(reset);
+        assert_eq!(told(&mut core).await, Told::Failed);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a new address that inherits a call, or the pause after a failed one, from the old service.
+#[tokio::test]
+async fn a_watch_that_moves_while_a_call_waits_calls_at_the_new_address_at_once() {
+    let test = async {
+        let (old, watch, mut core) = watching(PATIENCE, false).await;
+        let (_waits, _) = called(&old, None).await;
+        let new = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        watch.move_to(new.local_addr().unwrap());
+        let (mut moved, _) = called(&new, None).await;
+        answer(&mut moved, DRAIN).await;
+        assert!(matches!(told(&mut core).await, Told::Changes(changes) if changes.len() == 1));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against an agent that was silent while discovery was down: what it has counts from the moment in which it
+/// speaks again, so it is called again and again, and no call waits for long.
+#[tokio::test]
+async fn an_agent_that_is_silent_is_called_until_it_speaks() {
+    let test = async {
+        let (agent, _watch, mut core) = watching(Duration::from_millis(200), true).await;
+        let mut held = vec![called(&agent, None).await.0];
+        for _ in 0..3 {
+            let (silent, text) = called(&agent, None).await;
+            assert!(text.contains("timeout_ms=0 "), "{text}");
+            held.push(silent);
+        }
+        let (mut speaks, _) = called(&agent, None).await;
+        answer(&mut speaks, DRAIN).await;
+        loop {
+            match told(&mut core).await {
+                Told::Failed => {}
+                Told::Changes(changes) => break assert_eq!(changes[0].name, "s-1"),
+                Told::Whole(_) => panic!("never told"),
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
