Let a connection to a replica rest 20 ms after a stream before it is used again

The pool gave a connection out again in the very turn in which its stream ended, so such an answer met the next request there and would have been passed on as its answer.

Ruled out as enough: `quiet` in transport/pool.rs asks the kernel for bytes at the moment of the reuse, and sees only what has come by then. At fault: `Pool::put` and the call of it in transport/upstream.rs.

Changed: a connection is put back with a time before which it is not used (20 ms after a stream, none after a probe). Where only resting ones are idle, the first whose rest ends is waited for and asked for bytes once more.

Tests on sockets with the clock stopped: the pool, with and without a second answer, and the driver of attempts. Seen to fail without the rest in the driver, and without the second look in the pool.

--- a/src/program/config/mod.rs
+++ b/src/program/config/mod.rs
@@ -25,6 +25,8 @@
 const CONNECTION_BYTES: u64 = 64 * 1024;
 /// Idle connections are dropped so long before the replica closes them, or half-way where that is less.
 const IDLE_MARGIN: f64 = 1.0;
+/// What a replica says twice comes some milliseconds later, and must not meet the next request on its connection.
+const REST: Duration = Duration::from_millis(20);
 const STALL: Duration = Duration::from_secs(10);
 const CLIENT_IDLE: Duration = Duration::from_secs(75);
 /// A client that never gets done is owed an error or a close within 3 s of its connecting.
@@ -111,6 +113,7 @@
             held_bytes: (memory / BODY_SHARE) as usize,
             dial: Duration::from_secs_f64(dial),
             idle: Duration::from_secs_f64((idle - IDLE_MARGIN).max(idle / 2.0)),
+            rest: REST,
             stall: STALL,
             client_idle: CLIENT_IDLE,
             read: READ,
--- a/src/program/resolve.rs
+++ b/src/program/resolve.rs
@@ -153,6 +153,7 @@
         held_bytes: 0,
         dial: none,
         idle: none,
+        rest: none,
         stall: none,
         client_idle: none,
         read: none,
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -17,6 +17,8 @@
 pub mod upstream;
 
 use crate::protocol::http::Http;
+use socket2::SockRef;
+use std::mem::MaybeUninit;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
@@ -37,6 +39,8 @@
     pub dial: Duration,
     /// An idle connection to a replica is dropped after this time.
     pub idle: Duration,
+    /// After a stream a connection to a replica is not used again for so long.
+    pub rest: Duration,
     /// A client that takes nothing for so long is let go.
     pub stall: Duration,
     /// A client connection without a request is closed after this time.
@@ -53,3 +57,9 @@
     /// New connections are accepted for so long after the order to stop.
     pub linger: Duration,
 }
+
+/// What the kernel has for a reader: 1 where there are bytes, 0 where the other side has ended, an error of the
+/// kind `WouldBlock` where there is nothing. The runtime may not have heard of either yet.
+pub fn unread(socket: &TcpStream) -> std::io::Result<usize> {
+    SockRef::from(socket).peek(&mut [MaybeUninit::uninit()])
+}
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -1,12 +1,10 @@
 //! Connections to replicas: bounded in number, used again newest first.
 
-use super::Wire;
+use super::{unread, Wire};
 use crate::interface::ReplicaId;
 use crate::protocol::http::{Http, Side};
-use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,8 +37,16 @@
     Exhausted,
 }
 
-/// The idle connections to one replica with the time since when, newest last.
-type Idle = Vec<(Instant, Conn)>;
+/// A connection that nobody uses.
+struct Resting {
+    since: Instant,
+    /// Not used again before this.
+    until: Instant,
+    conn: Conn,
+}
+
+/// The idle connections to one replica, newest last.
+type Idle = Vec<Resting>;
 
 /// A replica and where it listens. A new replica may stand where one has gone, and a replica may move: neither
 /// must inherit connections.
@@ -63,10 +69,17 @@
         Pool { idle, open, most, dial, keep }
     }
 
-    /// The newest idle connection to a replica, or a new one.
+    /// The newest idle connection to a replica, or a new one. One that still rests is waited for: that is short, and a
+    /// new connection costs the replica work.
     pub async fn get(&self, peer: Peer) -> Result<Conn, NoConn> {
-        if let Some(conn) = self.reuse(peer) {
-            return Ok(conn);
+        while let Some(Resting { until, conn, .. }) = self.reuse(peer) {
+            if until <= Instant::now() {
+                return Ok(conn);
+            }
+            tokio::time::sleep_until(until).await;
+            if quiet(&conn.wire) {
+                return Ok(conn);
+            }
         }
         if *self.open.borrow() >= self.most && !self.drop_oldest() {
             return Err(NoConn::Exhausted);
@@ -83,25 +96,33 @@
         }
     }
 
-    fn reuse(&self, peer: Peer) -> Option<Conn> {
+    fn reuse(&self, peer: Peer) -> Option<Resting> {
+        let now = Instant::now();
         loop {
-            let (since, conn) = self.idle.borrow_mut().get_mut(&peer)?.pop()?;
-            if since.elapsed() < self.keep && quiet(&conn.wire) {
-                return Some(conn);
+            let mut idle = self.idle.borrow_mut();
+            let list = idle.get_mut(&peer)?;
+            let rested = list.iter().rposition(|c| c.until <= now);
+            let at = rested.or_else(|| (0..list.len()).min_by_key(|n| list[*n].until))?;
+            let resting = list.remove(at);
+            if now - resting.since < self.keep && quiet(&resting.conn.wire) {
+                return Some(resting);
             }
         }
     }
 
-    /// Takes back a connection whose answer is complete; one with unread bytes is closed instead.
-    pub fn put(&self, peer: Peer, conn: Conn) {
+    /// Takes back a connection whose answer is complete, to be used again after `rest`; one with unread bytes is
+    /// closed instead.
+    pub fn put(&self, peer: Peer, conn: Conn, rest: Duration) {
         if conn.wire.codec().idle() && quiet(&conn.wire) {
-            self.idle.borrow_mut().entry(peer).or_default().push((Instant::now(), conn));
+            let since = Instant::now();
+            let resting = Resting { since, until: since + rest, conn };
+            self.idle.borrow_mut().entry(peer).or_default().push(resting);
         }
     }
 
     fn drop_oldest(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let oldest = idle.iter().filter_map(|(a, l)| l.first().map(|c| (c.0, *a))).min();
+        let oldest = idle.iter().filter_map(|(a, l)| l.first().map(|c| (c.since, *a))).min();
         oldest.and_then(|(_, addr)| idle.get_mut(&addr)).is_some_and(|list| {
             list.remove(0);
             true
@@ -111,7 +132,7 @@
     /// Closes what has been idle too long.
     pub fn sweep(&self) {
         self.idle.borrow_mut().retain(|_, list| {
-            list.retain(|c| c.0.elapsed() < self.keep);
+            list.retain(|c| c.since.elapsed() < self.keep);
             !list.is_empty()
         });
     }
@@ -125,6 +146,6 @@
 /// A connection that has anything to say between two answers has ended or is out of step. The kernel is asked:
 /// the runtime may not have seen yet that there are bytes, and a second answer must not meet the next request.
 fn quiet(wire: &Wire) -> bool {
-    let peeked = SockRef::from(wire.get_ref()).peek(&mut [MaybeUninit::uninit()]);
+    let peeked = unread(wire.get_ref());
     wire.read_buffer().is_empty() && peeked.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
 }
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -85,7 +85,7 @@
             true
         };
         if tokio::time::timeout(DRAIN, rest).await == Ok(true) {
-            self.pool.put(peer, conn);
+            self.pool.put(peer, conn, self.bounds.rest);
         }
     }
 
@@ -203,7 +203,7 @@
             }
         }
         if keep {
-            self.pool.put(peer, conn);
+            self.pool.put(peer, conn, Duration::ZERO);
         }
         let load = std::str::from_utf8(&body).ok().and_then(|text| report(text, &self.boot));
         (probed(status), load)
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -1,21 +1,26 @@
 //! The drivers on loopback sockets, with the runtime's clock fed: no real time passes and none is asserted.
 
 use futures_util::{SinkExt, StreamExt};
+use poppykeel::interface::RequestId;
 use poppykeel::program::config::Config;
 use poppykeel::protocol::http::{Out, Part};
 use poppykeel::routing::directory::identity;
 use poppykeel::transport::client::{Client, Shared};
 use poppykeel::transport::clock::Clock;
-use poppykeel::transport::messages::Phase;
+use poppykeel::transport::messages::{Payload, Phase};
 use poppykeel::transport::pool::Pool;
 use poppykeel::transport::streams::Streams;
+use poppykeel::transport::upstream::{Job, Upstream};
+use poppykeel::transport::Bounds;
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::sync::{mpsc, watch};
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const STREAM: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n";
 const MINUTE: Duration = Duration::from_secs(60);
 
 #[tokio::test]
@@ -30,14 +35,14 @@
     assert!(matches!(conn.wire.next().await, Some(Ok(Part::Head(_)))));
     assert!(matches!(conn.wire.next().await, Some(Ok(Part::End))));
     let port = conn.wire.get_ref().local_addr().unwrap();
-    pool.put(peer, conn);
+    pool.put(peer, conn, Duration::ZERO);
 
     // A new replica at the old address starts with a connection of its own.
     let other = pool.get((identity("s-2"), peer.1)).await.ok().unwrap();
     assert_ne!(other.wire.get_ref().local_addr().unwrap(), port);
     let conn = pool.get(peer).await.ok().unwrap();
     assert_eq!(conn.wire.get_ref().local_addr().unwrap(), port);
-    pool.put(peer, conn);
+    pool.put(peer, conn, Duration::ZERO);
 
     // The runtime has had no turn since these bytes came, so only the kernel knows of them.
     replica.write_all(ANSWER).unwrap();
@@ -45,6 +50,80 @@
     assert_ne!(conn.wire.get_ref().local_addr().unwrap(), port);
 }
 
+/// Guards against the second answer of a replica that says one twice, some milliseconds later: it would be taken for
+/// the answer of the next request on that connection.
+#[tokio::test]
+async fn a_connection_rests_after_a_stream_and_is_used_again_where_nothing_came() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = (identity("s-1"), listener.local_addr().unwrap());
+    let pool = Pool::new(9, MINUTE, 9 * MINUTE);
+    let port = |conn: &poppykeel::transport::pool::Conn| conn.wire.get_ref().local_addr().unwrap();
+    for twice in [false, true] {
+        let conn = pool.get(peer).await.ok().unwrap();
+        let (rested, mut replica) = (port(&conn), listener.accept().unwrap().0);
+        tokio::time::pause();
+        pool.put(peer, conn, MINUTE);
+        let next = pool.get(peer);
+        tokio::pin!(next);
+        assert!(
+            tokio::time::timeout(MINUTE / 2, &mut next).await.is_err(),
+            "it is used before it has rested"
+        );
+        if twice {
+            replica.write_all(ANSWER).unwrap();
+        }
+        tokio::time::advance(MINUTE).await;
+        tokio::time::resume();
+        let next = next.await.ok().unwrap();
+        assert_eq!(port(&next) != rested, twice);
+        drop((next, replica));
+    }
+}
+
+/// The same through the driver of attempts: the request right after one that is answered twice.
+#[tokio::test]
+async fn a_request_right_after_an_answer_does_not_meet_that_answer_again() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = (identity("s-1"), listener.local_addr().unwrap());
+    let config = include_str!("exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
+    let config = Config::read(&config.replace("DISCOVERY", "127.0.0.1:2"), &[]).unwrap();
+    let (tell, _told) = mpsc::channel(16);
+    let clock = Clock::start();
+    let upstream = Upstream {
+        pool: Pool::new(9, MINUTE, MINUTE),
+        tell,
+        boot: Rc::new(config.boot),
+        bounds: Rc::new(Bounds { rest: MINUTE, ..config.bounds }),
+        streams: Rc::new(Streams::new(clock, Default::default())),
+        written: Rc::default(),
+        crossings: Rc::default(),
+        clock,
+    };
+    let attempt = |request| {
+        let payload = Payload { head: b"POST / HTTP/1.1\r\n".to_vec(), body: Default::default() };
+        let (request, payload) = (RequestId(request), Rc::new(payload));
+        let job = Job { request, attempt: 0, peer, wait: 1, token_aim: None, crosses: None, payload };
+        tokio::task::spawn_local(upstream.clone().attempt(job))
+    };
+    let test = async {
+        let first = attempt(1);
+        let mut replica = listener.accept().await.unwrap().0;
+        replica.write_all(STREAM).await.unwrap();
+        first.await.unwrap();
+        tokio::time::pause();
+        let _second = attempt(2);
+        tokio::task::yield_now().await;
+        // The clock stands still: this comes while the connection rests.
+        let mut replica = replica.into_std().unwrap();
+        replica.write_all(STREAM).unwrap();
+        tokio::time::advance(MINUTE).await;
+        tokio::time::resume();
+        let other = tokio::time::timeout(MINUTE / 3, listener.accept()).await;
+        assert!(other.is_ok(), "the second request went out where a second answer was to come");
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_request_that_is_never_whole_ends_its_connection() {
     let config = include_str!("exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
