Answer what comes in the instant of a close, and see clients that leave behind sent bytes

Every connection now ends its sending first, then reads and forgets for up to 1 s; nothing read then is served. - An idle connection was closed by the phase, its age or an eviction although bytes of a request had come that the runtime had not seen: the kernel is asked, and what has begun is read to its end and answered. - Connections in the kernel's queue at the end were taken through the runtime, which knows of them a turn later, so they were lost: the kernel's own accept is asked until it has none. - With a request read ahead nothing more was read, so that a close was not seen: its bytes are read up to 16 KiB, beyond that the kernel is asked for a close every 50 ms. - Bytes that are no request, behind one under way, ended that one without its answer. Now they have theirs after it. - Draining began after what was learned had been handed over: it now begins first. This has no test of its own.

Tests: tests/rare.rs, tests/transport.rs, four byte exchanges.

--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -5,7 +5,7 @@
 use crate::routing::directory::Directory;
 use crate::routing::Router;
 use crate::transport::admin::Admin;
-use crate::transport::client::Shared;
+use crate::transport::clients::Shared;
 use crate::transport::clock::Clock;
 use crate::transport::discovery::Watch;
 use crate::transport::fleet::Fleet;
@@ -210,11 +210,14 @@
     if let Some(fleet) = &fleet {
         fleet.leave();
     }
-    if let Some(handover) = &handover {
-        handover.leave().await;
-    }
+    // Before all else: what is answered from here on says that it is the last on its connection.
     let _ = phase.send(Phase::Draining);
-    tokio::time::sleep(bounds.linger).await;
+    let leave = async {
+        if let Some(handover) = &handover {
+            handover.leave().await;
+        }
+    };
+    tokio::join!(leave, tokio::time::sleep(bounds.linger));
     let _ = phase.send(Phase::Closing);
     tokio::time::sleep(LOOK).await;
     while shared.open() > 0 {
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -1,127 +1,49 @@
 //! One client's connection: requests one after the other, each with one answer.
 
+use super::clients::{Hold, Shared};
 use super::messages::{Answer, Asker, Message, Payload, Phase, Piece};
 use super::relay::{Next, Relay};
-use super::streams::Streams;
-use super::{Bounds, Wire};
+use super::{unread, Wire};
 use crate::interface::{Arrival, RequestId};
 use crate::protocol::http::{Fault, Head, Http, Out, Part, Side};
 use crate::protocol::request::{self, Reject, Route, MOST_BODY};
-use crate::wire::Boot;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
 /// After a last answer so much is still read, and for so long, so that the answer is not lost to a reset.
 const DISCARD: usize = 2 * MOST_BODY;
 const DISCARD_FOR: Duration = Duration::from_secs(1);
+/// Bytes of further requests that are read while an answer is awaited.
+const AHEAD: usize = 16 * 1024;
+/// Behind more bytes than these a close is looked for so often.
+const LOOK: Duration = Duration::from_millis(50);
 /// A connection that comes while idle ones are closed has so long to send its request.
 const FIRST_REQUEST: Duration = Duration::from_millis(250);
 /// When a client may come again that found no room for its body.
 const AGAIN_US: u64 = 500_000;
 
-/// What all clients' connections share.
-pub struct Shared {
-    /// The settings, as they are now.
-    pub boot: RefCell<Rc<Boot>>,
-    /// The figures.
-    pub bounds: Rc<Bounds>,
-    /// To the core.
-    pub tell: mpsc::Sender<Message>,
-    /// How far the node's life has come.
-    pub phase: watch::Receiver<Phase>,
-    /// What all streams share.
-    pub streams: Rc<Streams>,
-    held: Cell<usize>,
-    open: Cell<usize>,
-    /// By age alone. With those first that had sent nothing yet, a flood of silent connections pushed usual
-    /// clients out whose first request was about to come; and there is no end of old ones that stay unused.
-    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
-    marks: Cell<u64>,
-    askers: Cell<Asker>,
-}
-
-impl Shared {
-    /// Nobody is connected yet.
-    pub fn new(
-        boot: Rc<Boot>,
-        bounds: Rc<Bounds>,
-        tell: mpsc::Sender<Message>,
-        phase: watch::Receiver<Phase>,
-        streams: Rc<Streams>,
-    ) -> Self {
-        let (held, open, idle, marks, askers) = Default::default();
-        let boot = RefCell::new(boot);
-        Shared { boot, bounds, tell, phase, streams, held, open, idle, marks, askers }
-    }
-    /// As many connections are open as may be.
-    pub fn full(&self) -> bool {
-        self.open.get() >= self.bounds.clients
-    }
-    /// One above the bound may come in while one below it is on its way out.
-    pub fn can_evict(&self) -> bool {
-        self.open.get() < self.bounds.clients + MOST_LEAVING && self.evict()
-    }
-    /// Tells the connection that has been idle longest to go; false where all are busy.
-    pub fn evict(&self) -> bool {
-        let oldest = self.idle.borrow_mut().pop_first();
-        oldest.inspect(|(_, leave)| leave.notify_one()).is_some()
-    }
-    /// A number for one asking that no other has.
-    fn asker(&self) -> Asker {
-        self.askers.set(self.askers.get() + 1);
-        self.askers.get()
-    }
-    /// Client connections open now.
-    pub fn open(&self) -> usize {
-        self.open.get()
-    }
-}
-
-/// Connections that have been told to go and have not gone yet.
-const MOST_LEAVING: usize = 16;
-
-/// Bytes of one body, counted against the bound while they are held.
-struct Hold(Rc<Shared>, usize);
-
-impl Hold {
-    fn more(&mut self, bytes: usize) -> bool {
-        let held = self.0.held.get() + bytes;
-        if held > self.0.bounds.held_bytes {
-            return false;
-        }
-        self.0.held.set(held);
-        self.1 += bytes;
-        true
-    }
-}
-
-impl Drop for Hold {
-    fn drop(&mut self) {
-        self.0.held.set(self.0.held.get() - self.1);
-    }
-}
-
 /// The driver of one connection.
 pub struct Client {
     wire: Wire,
     shared: Rc<Shared>,
-    /// What was read ahead while an answer was awaited.
-    ahead: Option<Part>,
+    /// What was read ahead while an answer was awaited, if only that it can't be read.
+    ahead: Option<Result<Part, Fault>>,
     /// A request has been read on this connection.
     known: bool,
     /// The request on its way must be whole by then, however its bytes trickle in.
     until: Instant,
     /// Who asks in this connection's last request.
     asker: Asker,
+    /// Nobody is there to read what was written last, or nothing was.
+    deserted: bool,
 }
 
 /// Why a connection ends.
@@ -135,17 +57,17 @@
 
 impl Drop for Client {
     fn drop(&mut self) {
-        self.shared.open.set(self.shared.open.get() - 1);
+        self.shared.leave();
     }
 }
 
 impl Client {
     /// A connection that has just been accepted.
     pub fn new(socket: TcpStream, shared: Rc<Shared>) -> Self {
-        shared.open.set(shared.open.get() + 1);
+        shared.enter();
         let until = Instant::now() + shared.bounds.read;
         let wire = Framed::new(socket, Http::new(Side::Server));
-        Client { wire, shared, ahead: None, known: false, until, asker: 0 }
+        Client { wire, shared, ahead: None, known: false, until, asker: 0, deserted: false }
     }
 
     /// Serves requests until either side has had enough.
@@ -153,9 +75,16 @@
         while let Ok(Some(head)) = self.next_head().await {
             self.known = true;
             if self.serve(*head).await.is_err() {
-                return;
+                break;
             }
         }
+        if !self.deserted {
+            // A close over unread bytes resets the connection, and the end of the last answer goes with it. What
+            // still comes is read and forgotten: nothing that is read from here on is served.
+            let socket = self.wire.get_mut();
+            let _ = socket.shutdown().await;
+            let _ = tokio::time::timeout(DISCARD_FOR, discard(socket)).await;
+        }
     }
 
     fn last(&self) -> bool {
@@ -163,33 +92,16 @@
     }
 
     async fn next_head(&mut self) -> Result<Option<Box<Head>>, Leave> {
-        let bounds = self.shared.bounds.clone();
-        if let Some(Part::Head(head)) = self.ahead.take() {
-            self.until = Instant::now() + bounds.read;
-            return Ok(Some(head));
+        if let Some(ahead) = self.ahead.take() {
+            self.until = Instant::now() + self.shared.bounds.read;
+            return match ahead {
+                Ok(Part::Head(head)) => Ok(Some(head)),
+                Ok(_) => Ok(None),
+                Err(fault) => self.fault(fault).await.map(|()| None),
+            };
         }
-        let mark = self.shared.marks.get() + 1;
-        self.shared.marks.set(mark);
-        let leave = Rc::new(Notify::new());
-        self.shared.idle.borrow_mut().insert(mark, leave.clone());
-        let mut phase = self.shared.phase.clone();
-        let (known, wire, until) = (self.known, &mut self.wire, &mut self.until);
-        let next = async {
-            if known {
-                // A kept connection may rest; from the first byte on, the request has its limit.
-                if wire.read_buffer().is_empty() {
-                    let mut byte = [0];
-                    let peeked = wire.get_ref().peek(&mut byte);
-                    tokio::time::timeout(bounds.client_idle, peeked).await.ok()?.ok()?;
-                }
-                *until = Instant::now() + bounds.read;
-            }
-            match tokio::time::timeout_at(*until, wire.next()).await {
-                Ok(next) => next,
-                Err(_) if wire.read_buffer().is_empty() => None,
-                Err(_) => Some(Err(Fault::Slow)),
-            }
-        };
+        let (mark, leave) = self.shared.rests();
+        let (known, mut phase) = (self.known, self.shared.phase.clone());
         let closing = async {
             let _ = phase.wait_for(|p| matches!(p, Phase::Evacuated | Phase::Closing)).await;
             if !known {
@@ -199,11 +111,24 @@
         };
         let next = tokio::select! {
             biased;
-            next = next => next,
+            next = self.rest() => Some(next),
             () = closing => None,
-            () = leave.notified() => None,
+            () = leave.notified() => {
+                // Another needs the place: it is not kept for a client that does not see the end.
+                self.deserted = true;
+                None
+            }
+        };
+        self.shared.busy(mark);
+        let next = match next {
+            Some(next) => next,
+            // Bytes have come in the very moment of the close: they are a request, to be read and answered.
+            None if self.begun() => {
+                self.deserted = false;
+                self.rest().await
+            }
+            None => return Ok(None),
         };
-        self.shared.idle.borrow_mut().remove(&mark);
         match next {
             Some(Ok(Part::Head(head))) => Ok(Some(head)),
             Some(Err(fault)) => self.fault(fault).await.map(|()| None),
@@ -211,6 +136,36 @@
         }
     }
 
+    /// Waits for the next request's head; nothing where the client has left or has rested for too long.
+    async fn rest(&mut self) -> Option<Result<Part, Fault>> {
+        if self.known {
+            // A kept connection may rest; from the first byte on, the request has its limit.
+            if self.wire.read_buffer().is_empty() {
+                let mut byte = [0];
+                let peeked = self.wire.get_ref().peek(&mut byte);
+                match tokio::time::timeout(self.shared.bounds.client_idle, peeked).await {
+                    Ok(Ok(_)) => {}
+                    Err(_) if self.begun() => {}
+                    _ => return None,
+                }
+            }
+            self.until = Instant::now() + self.shared.bounds.read;
+        }
+        match tokio::time::timeout_at(self.until, self.wire.next()).await {
+            Ok(next) => {
+                self.deserted |= next.is_none();
+                next
+            }
+            Err(_) if !self.begun() => None,
+            Err(_) => Some(Err(Fault::Slow)),
+        }
+    }
+
+    /// Bytes of a request are here. The kernel is asked, too: the runtime may not have seen them yet.
+    fn begun(&self) -> bool {
+        !self.wire.read_buffer().is_empty() || matches!(unread(self.wire.get_ref()), Ok(1..))
+    }
+
     /// Answers what can't be read, where there is anyone to answer.
     async fn fault(&mut self, fault: Fault) -> Result<(), Leave> {
         let status = match &fault {
@@ -218,7 +173,10 @@
             Fault::LongHead => 431,
             Fault::Slow => 408,
             Fault::Version => 505,
-            Fault::Cut | Fault::Io(_) => return Err(Leave),
+            Fault::Cut | Fault::Io(_) => {
+                self.deserted = true;
+                return Err(Leave);
+            }
         };
         self.turn_down(Reject { status, reason: fault.to_string() }, None).await
     }
@@ -226,9 +184,6 @@
     /// The last answer on this connection.
     async fn turn_down(&mut self, reject: Reject, retry_after: Option<u64>) -> Result<(), Leave> {
         self.send(Out::Raw(request::own_answer(reject.status, &reject.reason, retry_after, true))).await?;
-        let socket = self.wire.get_mut();
-        let _ = socket.shutdown().await;
-        let _ = tokio::time::timeout(DISCARD_FOR, discard(socket)).await;
         Err(Leave)
     }
 
@@ -241,11 +196,13 @@
     /// it have a limit.
     async fn feed(&mut self, out: Out) -> Result<(), Leave> {
         let fed = tokio::time::timeout(self.shared.bounds.stall, self.wire.feed(out)).await;
+        self.deserted |= !matches!(fed, Ok(Ok(())));
         Ok(fed.map_err(|_| Leave)??)
     }
 
     async fn flush(&mut self) -> Result<(), Leave> {
         let flushed = tokio::time::timeout(self.shared.bounds.stall, self.wire.flush()).await;
+        self.deserted |= !matches!(flushed, Ok(Ok(())));
         Ok(flushed.map_err(|_| Leave)??)
     }
 
@@ -254,7 +211,7 @@
             Ok(route) => route,
             Err(reject) => return self.turn_down(reject, None).await,
         };
-        let mut hold = Hold(self.shared.clone(), 0);
+        let mut hold = Hold::new(self.shared.clone());
         let body = match self.read(&head, &mut hold).await? {
             Ok(body) => body,
             Err((reject, retry_after)) => return self.turn_down(reject, retry_after).await,
@@ -327,6 +284,7 @@
 
     /// Tells the core that nobody waits for this request any more.
     async fn gone(&mut self, id: RequestId) -> Result<(), Leave> {
+        self.deserted = true;
         let _ = self.shared.tell.send(Message::Left { request: id, asker: self.asker }).await;
         Err(Leave)
     }
@@ -355,7 +313,10 @@
                     self.fault(fault).await?;
                     return Err(Leave);
                 }
-                Ok(None) => return Err(Leave),
+                Ok(None) => {
+                    self.deserted = true;
+                    return Err(Leave);
+                }
                 Err(_) => {
                     self.fault(Fault::Slow).await?;
                     return Err(Leave);
@@ -381,15 +342,20 @@
         tokio::pin!(wait);
         loop {
             if self.ahead.is_some() {
-                // The next request is here already; it waits its turn, and nothing more is read.
-                return Ok(wait.await);
+                // The next request is here already and waits its turn; that its client leaves is seen all the same.
+                return tokio::select! {
+                    biased;
+                    done = &mut wait => Ok(done),
+                    () = left(&mut self.wire) => Err(Leave),
+                };
             }
             tokio::select! {
                 biased;
                 done = &mut wait => return Ok(done),
                 read = self.wire.next() => match read {
-                    Some(Ok(part)) => self.ahead = Some(part),
-                    _ => return Err(Leave),
+                    None | Some(Err(Fault::Cut | Fault::Io(_))) => return Err(Leave),
+                    // What can't be read has its answer after this one.
+                    Some(part) => self.ahead = Some(part),
                 },
             }
         }
@@ -472,6 +438,28 @@
     }
 }
 
+/// Waits until a client has left behind bytes that it had sent ahead; these are kept.
+async fn left(wire: &mut Wire) {
+    let mut piece = [0; 4096];
+    loop {
+        if wire.read_buffer().len() >= AHEAD {
+            match wire.get_ref().ready(Interest::READABLE).await {
+                Ok(ready) if !ready.is_read_closed() => tokio::time::sleep(LOOK).await,
+                _ => return,
+            }
+        } else if wire.get_ref().readable().await.is_err() {
+            return;
+        } else {
+            match wire.get_ref().try_read(&mut piece) {
+                Ok(0) => return,
+                Ok(n) => wire.read_buffer_mut().extend_from_slice(&piece[..n]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+}
+
 /// Reads and forgets, up to a bound, until the other side has closed.
 pub async fn discard(socket: &mut TcpStream) {
     let mut scrap = [0; 4096];
--- /dev/null
+++ b/src/transport/clients.rs
@@ -0,0 +1,117 @@
+//! What all clients' connections share: bounds on their number and on what they hold, and who rests.
+
+use super::messages::{Asker, Message, Phase};
+use super::streams::Streams;
+use super::Bounds;
+use crate::wire::Boot;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::{mpsc, watch, Notify};
+
+/// What all clients' connections share.
+pub struct Shared {
+    /// The settings, as they are now.
+    pub boot: RefCell<Rc<Boot>>,
+    /// The figures.
+    pub bounds: Rc<Bounds>,
+    /// To the core.
+    pub tell: mpsc::Sender<Message>,
+    /// How far the node's life has come.
+    pub phase: watch::Receiver<Phase>,
+    /// What all streams share.
+    pub streams: Rc<Streams>,
+    held: Cell<usize>,
+    open: Cell<usize>,
+    /// By age alone. With those first that had sent nothing yet, a flood of silent connections pushed usual
+    /// clients out whose first request was about to come; and there is no end of old ones that stay unused.
+    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    marks: Cell<u64>,
+    askers: Cell<Asker>,
+}
+
+impl Shared {
+    /// Nobody is connected yet.
+    pub fn new(
+        boot: Rc<Boot>,
+        bounds: Rc<Bounds>,
+        tell: mpsc::Sender<Message>,
+        phase: watch::Receiver<Phase>,
+        streams: Rc<Streams>,
+    ) -> Self {
+        let (held, open, idle, marks, askers) = Default::default();
+        let boot = RefCell::new(boot);
+        Shared { boot, bounds, tell, phase, streams, held, open, idle, marks, askers }
+    }
+    /// As many connections are open as may be.
+    pub fn full(&self) -> bool {
+        self.open.get() >= self.bounds.clients
+    }
+    /// One above the bound may come in while one below it is on its way out.
+    pub fn can_evict(&self) -> bool {
+        self.open.get() < self.bounds.clients + MOST_LEAVING && self.evict()
+    }
+    /// Tells the connection that has been idle longest to go; false where all are busy.
+    pub fn evict(&self) -> bool {
+        let oldest = self.idle.borrow_mut().pop_first();
+        oldest.inspect(|(_, leave)| leave.notify_one()).is_some()
+    }
+    /// A connection has come.
+    pub(super) fn enter(&self) {
+        self.open.set(self.open.get() + 1);
+    }
+    /// A connection has ended.
+    pub(super) fn leave(&self) {
+        self.open.set(self.open.get() - 1);
+    }
+    /// A connection rests: its place among those that do, and what tells it to go.
+    pub(super) fn rests(&self) -> (u64, Rc<Notify>) {
+        let mark = self.marks.get() + 1;
+        self.marks.set(mark);
+        let leave = Rc::new(Notify::new());
+        self.idle.borrow_mut().insert(mark, leave.clone());
+        (mark, leave)
+    }
+    /// It rests no more.
+    pub(super) fn busy(&self, mark: u64) {
+        self.idle.borrow_mut().remove(&mark);
+    }
+    /// A number for one asking that no other has.
+    pub(super) fn asker(&self) -> Asker {
+        self.askers.set(self.askers.get() + 1);
+        self.askers.get()
+    }
+    /// Client connections open now.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+}
+
+/// Connections that have been told to go and have not gone yet.
+const MOST_LEAVING: usize = 16;
+
+/// Bytes of one body, counted against the bound while they are held.
+pub struct Hold(Rc<Shared>, usize);
+
+impl Hold {
+    /// Nothing is held yet.
+    pub fn new(shared: Rc<Shared>) -> Hold {
+        Hold(shared, 0)
+    }
+    /// Holds so many more, if there is room.
+    pub fn more(&mut self, bytes: usize) -> bool {
+        let held = self.0.held.get() + bytes;
+        if held > self.0.bounds.held_bytes {
+            return false;
+        }
+        self.0.held.set(held);
+        self.1 += bytes;
+        true
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.0.held.set(self.0.held.get() - self.1);
+    }
+}
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -1,9 +1,9 @@
 //! Accepts clients within the bounds, and ends the node in order.
 
-use super::client::{Client, Shared};
+use super::client::Client;
+use super::clients::Shared;
 use super::messages::Phase;
 use crate::protocol::request;
-use futures_util::FutureExt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -35,9 +35,12 @@
             }
         }
     }
-    // What the kernel took in before the end is the node's to answer.
-    while let Some(Ok((socket, _))) = listener.accept().now_or_never() {
-        admit(socket, &shared, &turned_away);
+    // What the kernel took in before the end is the node's to answer. The kernel itself is asked: the runtime knows
+    // of a connection only after its next turn.
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((socket, _)) = listener.accept() {
+        let socket = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket));
+        socket.into_iter().for_each(|socket| admit(socket, &shared, &turned_away));
     }
 }
 
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod client;
+pub mod clients;
 pub mod clock;
 pub mod discovery;
 pub mod fleet;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -238,6 +238,6 @@
 
 exchanges! {
     served broken declined rejected gone chunked_request duplicate drained stopped pipelined reloaded spoilt at_fault
-    pushed
+    pushed silent_agent gone_ahead garbage_behind begun_at_the_end
 }
 exchanges_with_operators! { srv srv_alone srv_moves }
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -162,6 +162,52 @@
     assert_eq!(standin.records().len(), 1);
 }
 
+/// Guards against the end of an answer that goes with the reset of a close over unread bytes.
+#[test]
+fn the_last_answer_on_a_connection_arrives_whole_also_over_bytes_that_nobody_reads() {
+    let replica = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Node::start("unread", &[replica.local_addr().unwrap()], "", "safe");
+    for begun in [false, true] {
+        let mut client = connect(&node);
+        let id = if begun { "00000000000000b2" } else { "00000000000000b1" };
+        client.write_all(request(id, "Connection: close\r\n", "").as_bytes()).unwrap();
+        let mut stream = taken(&replica);
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n")
+            .unwrap();
+        // More than is read ahead stays in the kernel.
+        client.write_all(request("00000000000000b3", "", &"x".repeat(100_000)).as_bytes()).unwrap();
+        if begun {
+            // The stream breaks: what has passed arrives, and no last chunk.
+            drop(stream);
+        } else {
+            stream.write_all(b"0\r\n\r\n").unwrap();
+        }
+        let mut bytes = Vec::new();
+        let end = client.read_to_end(&mut bytes);
+        let text = String::from_utf8_lossy(&bytes);
+        assert!(end.is_ok(), "{end:?} after '{text}'");
+        assert!(text.contains("data: 1") && text.ends_with("0\r\n\r\n") != begun, "{text}");
+    }
+}
+
+/// Guards against a stream that runs on for nobody: the client has closed behind more bytes than are read ahead.
+#[test]
+fn a_client_that_leaves_behind_many_bytes_is_missed() {
+    let replica = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Node::start("behind", &[replica.local_addr().unwrap()], "", "safe");
+    let mut client = connect(&node);
+    // Its time is longer than the patience: it does not end by itself.
+    let first = request("00000000000000c1", "", "").replace("Deadline: 10", "Deadline: 60");
+    client.write_all(first.as_bytes()).unwrap();
+    let mut stream = taken(&replica);
+    client.write_all(request("00000000000000c2", "", &"x".repeat(100_000)).as_bytes()).unwrap();
+    drop(client);
+    let end = stream.read(&mut [0]);
+    let reset = |e: &std::io::Error| e.kind() == ErrorKind::ConnectionReset;
+    assert!(end.as_ref().map_or_else(reset, |n| *n == 0), "{end:?}: nobody waits for this answer");
+}
+
 /// Many clients leave in one instant while their requests wait for a server: none is sent on when one comes.
 #[test]
 fn requests_whose_clients_left_while_they_waited_are_never_sent_on() {
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -5,8 +5,10 @@
 use poppykeel::program::config::Config;
 use poppykeel::protocol::http::{Out, Part};
 use poppykeel::routing::directory::identity;
-use poppykeel::transport::client::{Client, Shared};
+use poppykeel::transport::client::Client;
+use poppykeel::transport::clients::Shared;
 use poppykeel::transport::clock::Clock;
+use poppykeel::transport::listener::accept;
 use poppykeel::transport::messages::{Payload, Phase};
 use poppykeel::transport::pool::Pool;
 use poppykeel::transport::streams::Streams;
@@ -124,16 +126,69 @@
     tokio::task::LocalSet::new().run_until(test).await;
 }
 
+/// What a client connection of a node shares with the others; nobody takes what it tells.
+fn shared(phases: watch::Receiver<Phase>) -> Rc<Shared> {
+    let config = include_str!("exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
+    let config = Config::read(&config.replace("DISCOVERY", "127.0.0.1:2"), &[]).unwrap();
+    let (tell, _told) = mpsc::channel(1);
+    let streams = Rc::new(Streams::new(Clock::start(), Default::default()));
+    Rc::new(Shared::new(Rc::new(config.boot), Rc::new(config.bounds), tell, phases, streams))
+}
+
+/// Guards against requests lost at the end: they are in the kernel, and the runtime has had no turn since they came.
+#[tokio::test]
+async fn what_the_kernel_has_when_the_node_closes_is_answered() {
+    const HEALTH: &[u8] = b"GET /healthz HTTP/1.1\r\n\r\n";
+    let answer = |stream: &mut std::net::TcpStream| {
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text
+    };
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let shared = shared(phases.clone());
+    let test = async {
+        // A connection that nobody has accepted yet.
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap();
+        let mut new = std::net::TcpStream::connect(at).unwrap();
+        new.write_all(HEALTH).unwrap();
+        phase.send(Phase::Closing).unwrap();
+        accept(listener, shared.clone(), phases.clone()).await;
+        let new = tokio::task::spawn_blocking(move || answer(&mut new)).await.unwrap();
+        assert!(new.starts_with("HTTP/1.1 503 "), "the new connection: '{new}'");
+
+        // A request on a connection that rests.
+        phase.send(Phase::Serving).unwrap();
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut kept = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let client = Client::new(listener.accept().await.unwrap().0, shared.clone());
+        let client = tokio::task::spawn_local(client.run());
+        kept.write_all(HEALTH).unwrap();
+        let mut kept = tokio::task::spawn_blocking(move || {
+            let mut piece = [0; 4096];
+            assert!(kept.read(&mut piece).unwrap() > 0);
+            kept
+        })
+        .await
+        .unwrap();
+        tokio::task::yield_now().await;
+        kept.write_all(HEALTH).unwrap();
+        phase.send(Phase::Closing).unwrap();
+        let kept = tokio::task::spawn_blocking(move || answer(&mut kept)).await.unwrap();
+        assert!(kept.starts_with("HTTP/1.1 503 "), "the kept connection: '{kept}'");
+        client.await.unwrap();
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_request_that_is_never_whole_ends_its_connection() {
     let config = include_str!("exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
     let config = Config::read(&config.replace("DISCOVERY", "127.0.0.1:2"), &[]).unwrap();
     let read = config.bounds.read;
     assert!(read < Duration::from_secs(3));
-    let (tell, _told) = mpsc::channel(1);
     let (_phase, phases) = watch::channel(Phase::Serving);
-    let streams = Rc::new(Streams::new(Clock::start(), Default::default()));
-    let shared = Rc::new(Shared::new(Rc::new(config.boot), Rc::new(config.bounds), tell, phases, streams));
+    let shared = shared(phases);
     for (bytes, answer) in [
         ("", ""),
         ("POST /v1/", "HTTP/1.1 408 "),
