Call a pushed list's agent so often that a call in the dark is over within the time for draining

Test: tests/watch.rs, for six times for draining, on the bounds alone (no clock); seen to fail without the change.

--- a/src/program/config/mod.rs
+++ b/src/program/config/mod.rs
@@ -38,10 +38,15 @@
 /// call must be answered within the rest of that, and a service that works through calls in turn may take a second
 /// for either.
 const WATCH_SLACK: Duration = Duration::from_millis(1000);
-/// An agent on this machine answers at once and at no cost: a short wait finds a silent one early ...
+/// An agent on this machine answers at once and at no cost: a short wait finds a silent one early. What it has counts
+/// as told the moment it speaks again, so a call that it keeps in the dark is over within a part of the time for
+/// draining: at most these ...
 const AGENT_WATCH: Duration = Duration::from_millis(1000);
-/// ... and no answer of it is later than this.
 const AGENT_SLACK: Duration = Duration::from_millis(500);
+/// ... and less where the time for draining is short: the wait this part of it, and the answer half as long again.
+const AGENT_PART: f64 = 0.5;
+/// No agent is called more often than a time for draining of so many seconds asks for.
+const LEAST_GRACE: f64 = 0.2;
 /// Clients keep coming for up to 0.4 s after the order to stop.
 const LINGER: Duration = Duration::from_millis(700);
 
@@ -107,6 +112,8 @@
             }
         }
         let pushed = boot.settings.discovery == crate::interface::Discovery::Pushed;
+        let grace = boot.settings.rules.drain_grace.clamp(LEAST_GRACE, 86_400.0);
+        let agent = Duration::from_secs_f64(grace * AGENT_PART);
         let bounds = Bounds {
             clients: half as usize,
             upstream: half as usize,
@@ -118,8 +125,8 @@
             client_idle: CLIENT_IDLE,
             read: READ,
             probe: PROBE,
-            watch: if pushed { AGENT_WATCH } else { WATCH },
-            watch_slack: if pushed { AGENT_SLACK } else { WATCH_SLACK },
+            watch: if pushed { AGENT_WATCH.min(agent) } else { WATCH },
+            watch_slack: if pushed { AGENT_SLACK.min(agent / 2) } else { WATCH_SLACK },
             linger: LINGER,
         };
         Ok(Config {
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -167,3 +167,21 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a drain that is heeded late since a call hung at an agent that was silent for a moment: what the agent
+/// has counts from when it speaks again, so a call in the dark must be over, and made anew, well within the time for
+/// draining. The time of either kind of call is the node's own, the answer is the agent's.
+#[test]
+fn a_call_that_an_agent_keeps_in_the_dark_is_over_within_the_time_for_draining() {
+    for grace in [0.2, 0.35, 0.5, 0.75, 3.0, 60.0] {
+        let config = include_str!("exchanges/config.json")
+            .replace("REPLICA", "127.0.0.1:1")
+            .replace("DISCOVERY", "127.0.0.1:2")
+            .replace("on_request", "pushed")
+            .replace("\"drainGrace\":0.5", &format!("\"drainGrace\":{grace}"));
+        let bounds = Config::read(&config, &[]).unwrap().bounds;
+        let dark = bounds.watch + bounds.watch_slack;
+        assert!(dark.as_secs_f64() <= 0.76 * grace, "{dark:?} of {grace} s");
+        assert!(dark >= Duration::from_millis(100), "{dark:?}: the agent is called all the time");
+    }
+}
