--- a/crates/fleet/src/budget/divider.rs
+++ b/crates/fleet/src/budget/divider.rs
@@ -60,12 +60,6 @@
         Divider { epoch, shares: 0, length, drift, open_at, wholes, nodes: BTreeMap::new() }
     }
 
-    /// The same as if it had waited already.
-    #[cfg(test)]
-    pub(super) fn open(self) -> Divider {
-        Divider { open_at: 0, ..self }
-    }
-
     /// Its epoch.
     pub fn epoch(&self) -> u64 {
         self.epoch
@@ -166,3 +160,6 @@
         self.wholes.iter().map(row).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/fleet/src/budget/mod.rs
+++ b/crates/fleet/src/budget/mod.rs
@@ -2,11 +2,11 @@
 //! the whole. Whoever holds the lease divides; a share counts against the whole until its node has shown that it has
 //! a newer one, or its time is over by the divider's clock. `docs/budgets.md` says what holds in exact words.
 
-#[cfg(test)]
-mod check;
 mod divider;
 mod party;
 mod shares;
+#[cfg(test)]
+mod tests;
 
 use crate::lease::{hold, Holder};
 use crate::Micros;
--- a/crates/fleet/src/lease/claim.rs
+++ b/crates/fleet/src/lease/claim.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 
 #[cfg(test)]
-mod check;
+mod tests;
 
 /// On what terms a task is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
