Force signals that cross, silent discovery and floods in tests; leave probes to their time limit

Need: three suspects had no test: settings read again and orders to stop that come at once, with requests under way; a node whose discovery takes its call and says nothing; clients that send much and go. All three are safe, and now guarded on sockets (tests/rare.rs).

Taken out: probes were called back from servers that leave like requests. A probe with its connection is over in 0.25 s (program/config/mod.rs), less than any time for draining, so this guarded against nothing and could have no test that fails without it.

--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -52,8 +52,6 @@
     /// Who has asked for which request; those of requests that are over are forgotten now and then.
     askers: HashMap<RequestId, Asker>,
     attempts: HashMap<(RequestId, usize), Outgoing>,
-    /// A replica is probed once at a time.
-    probes: HashMap<ReplicaId, Outgoing>,
     /// A stream whose first event is being told to the core.
     offered: Option<(String, ReplicaId, mpsc::Receiver<Piece>)>,
     commands: Vec<Command>,
@@ -69,20 +67,9 @@
         watch: Watch,
         known: Option<Told>,
     ) -> Self {
-        let (clients, askers, attempts, probes, offered, commands) = Default::default();
-        let mut hub = Hub {
-            clock,
-            router,
-            directory,
-            upstream,
-            watch,
-            clients,
-            askers,
-            attempts,
-            probes,
-            offered,
-            commands,
-        };
+        let (clients, askers, attempts, offered, commands) = Default::default();
+        let mut hub =
+            Hub { clock, router, directory, upstream, watch, clients, askers, attempts, offered, commands };
         let now = hub.clock.now();
         // The module begins with what it first hears of. Without this a node that knows no replica would ask for the
         // list with its first request only, and that one would wait for it.
@@ -229,7 +216,6 @@
         match &input {
             Input::ClientGone(id) => drop(self.clients.remove(id)),
             Input::Ended { request, attempt, .. } => drop(self.attempts.remove(&(*request, *attempt))),
-            Input::Probed { replica, .. } => drop(self.probes.remove(replica)),
             _ => {}
         }
         log_input(&input);
@@ -254,7 +240,8 @@
     }
 
     /// Calls back what has not been written to replicas that leave: a connection that comes up late would carry it
-    /// there long after they were to get nothing new. It has never run, and the module finds it another place.
+    /// there long after they were to get nothing new. It has never run, and the module finds it another place. Probes
+    /// are left alone: with their connection they take a quarter of a second at most.
     fn recall(&mut self, now: Micros, leaving: BTreeSet<ReplicaId>) {
         if leaving.is_empty() {
             return;
@@ -270,13 +257,6 @@
             let input = Input::Ended { request, attempt, outcome, report: None };
             self.router.handle(now, input, &mut self.commands);
         }
-        let mut probes: Vec<ReplicaId> =
-            self.probes.iter().filter(|(_, o)| unwritten(o)).map(|(id, _)| *id).collect();
-        probes.sort_unstable();
-        for replica in probes {
-            self.probes.remove(&replica).iter().for_each(|o| o.task.abort());
-            self.router.handle(now, Input::Probed { replica, outcome, report: None }, &mut self.commands);
-        }
     }
 
     /// Keeps who has asked, and forgets the askers of requests that are over once they are the most.
@@ -394,10 +374,7 @@
                 Command::Fail { request } => self.answer(request, Answer::Failed),
                 Command::Probe { replica } => {
                     let addr = self.directory.addr(replica);
-                    let begun = Rc::new(Cell::new(false));
-                    let probe = self.upstream.clone().probe(replica, addr, begun.clone());
-                    let task = tokio::task::spawn_local(probe).abort_handle();
-                    self.probes.insert(replica, Outgoing { replica, begun, task });
+                    tokio::task::spawn_local(self.upstream.clone().probe(replica, addr));
                 }
                 Command::Watch => self.watch.start(),
             }
--- a/src/transport/upstream.rs
+++ b/src/transport/upstream.rs
@@ -177,19 +177,18 @@
     }
 
     /// Asks a replica for its load, or for its health where there are no reports.
-    pub async fn probe(self, replica: ReplicaId, addr: Option<SocketAddr>, begun: Rc<Cell<bool>>) {
+    pub async fn probe(self, replica: ReplicaId, addr: Option<SocketAddr>) {
         let (outcome, report) = match addr {
             None => (Outcome::ConnectFailed, None),
-            Some(addr) => tokio::time::timeout(self.bounds.probe, self.ask((replica, addr), &begun))
+            Some(addr) => tokio::time::timeout(self.bounds.probe, self.ask((replica, addr)))
                 .await
                 .unwrap_or((Outcome::TimedOut, None)),
         };
         let _ = self.tell.send(Input::Probed { replica, outcome, report }.into()).await;
     }
 
-    async fn ask(&self, peer: Peer, begun: &Cell<bool>) -> (Outcome, Option<Report>) {
+    async fn ask(&self, peer: Peer) -> (Outcome, Option<Report>) {
         let Ok(mut conn) = self.pool.get(peer).await else { return (Outcome::ConnectFailed, None) };
-        begun.set(true);
         let target = if self.boot.names.fields.is_empty() { "/healthz" } else { "/load" };
         if write(&mut conn, request::get(target, &peer.1.to_string()), Bytes::new()).await.is_err() {
             return (Outcome::ConnectFailed, None);
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -240,3 +240,86 @@
     assert_eq!(read(id, "later", 3, &mut client).outcome, Outcome::Whole);
     assert_eq!(standin.records().len(), 1);
 }
+
+/// Reads to the end of a connection.
+fn rest(client: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    client.read_to_end(&mut bytes).unwrap();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Settings that are read again and an order to stop, each twice and all at once, take no request its answer, and the
+/// node ends in order.
+#[test]
+fn signals_that_cross_leave_a_request_its_answer() {
+    let replica = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut node = Node::start("signals", &[replica.local_addr().unwrap()], "", "unsafe");
+    let mut client = connect(&node);
+    client.write_all(request("00000000000000e1", "", "").as_bytes()).unwrap();
+    let mut stream = taken(&replica);
+    signal(&node, "-STOP");
+    for sent in ["-HUP", "-TERM", "-HUP", "-TERM", "-INT"] {
+        signal(&node, sent);
+    }
+    // One that comes with them is taken, too.
+    let mut late = connect(&node);
+    late.write_all(request("00000000000000e2", "", "").as_bytes()).unwrap();
+    signal(&node, "-CONT");
+    let mut second = taken(&replica);
+    for stream in [&mut stream, &mut second] {
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata: 1\n\n").unwrap();
+    }
+    for client in [&mut client, &mut late] {
+        let text = rest(client);
+        assert!(text.starts_with("HTTP/1.1 200 ") && text.ends_with("0\r\n\r\n"), "{text}");
+    }
+    until("the end", || node.child.try_wait().unwrap().is_some());
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+}
+
+/// A node is ready and serves by the list that it knows, though discovery takes its call and never says a word.
+#[test]
+fn a_node_whose_discovery_is_silent_is_ready_and_serves_by_what_it_knows() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let service = discovery.local_addr().unwrap().to_string();
+    let standin = Standin::start(vec![Script { tokens: 3, ..Script::default() }]).unwrap();
+    let node = Node::with_list("silent", standin.addrs(), "", "safe", &service);
+    let _watch = taken(&discovery);
+    let mut health = connect(&node);
+    health.write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
+    assert!(rest(&mut health).starts_with("HTTP/1.1 200 "));
+    let (id, mut client) = ask(&node, "silent", 3);
+    assert_eq!(read(id, "silent", 3, &mut client).outcome, Outcome::Whole);
+}
+
+/// Clients that send much at once and go, with whole bodies that are too long, parts of bodies, and requests one behind
+/// the other: others are answered meanwhile, and the node gets all its room back.
+#[test]
+fn a_flood_of_clients_that_send_much_and_go_leaves_nothing_behind() {
+    let standin = Standin::start(vec![Script { tokens: 3, ..Script::default() }]).unwrap();
+    let node = Node::start("flood", standin.addrs(), "", "safe");
+    let descriptors = || std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).unwrap().count();
+    let before = descriptors();
+    let body = "x".repeat(200_000);
+    for n in 0..120u64 {
+        let mut client = connect(&node);
+        let id = format!("{:016x}", 0xf000 + n);
+        let text = match n % 4 {
+            0 => request(&id, "", &"x".repeat(600_000)),
+            1 => request(&id, "", &body)[..100_000].to_string(),
+            2 => request(&id, "", "no body that a model knows").repeat(50),
+            _ => "\0\u{1}garbage".repeat(20_000),
+        };
+        // The node may have answered and closed before all is written.
+        let _ = client.write_all(text.as_bytes());
+        if n % 2 == 0 {
+            Socket::from(client).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+        if n % 10 == 0 {
+            let (id, mut client) = ask(&node, "among them", 3);
+            assert_eq!(read(id, "among them", 3, &mut client).outcome, Outcome::Whole);
+        }
+    }
+    // A few connections to the server stay for later use.
+    until("the room", || descriptors() <= before + 16);
+}
