Keep a connection whose rest was waited for in vain

With the pool's doings in the log: 1,211 waits for a connection that rested, 1,046 of them ended, 2 found bytes; 163 were given up, and 275 connections were dialled. So nearly all of the surplus were connections that went with a wait that was dropped.

Changed: a wait that is dropped puts its connection back. Test: tests/transport.rs, with the clock stopped; seen to fail without it.

--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -45,6 +45,23 @@
     conn: Conn,
 }
 
+/// A wait for the end of a connection's rest. Clients that leave within it are many on some days: the connection goes
+/// back then, since each one that is closed costs a new one.
+struct Wait<'a> {
+    pool: &'a Pool,
+    peer: Peer,
+    resting: Option<Resting>,
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        let Some(resting) = self.resting.take() else { return };
+        let mut idle = self.pool.idle.borrow_mut();
+        let list = idle.entry(self.peer).or_default();
+        list.insert(list.partition_point(|c| c.since <= resting.since), resting);
+    }
+}
+
 /// The idle connections to one replica, newest last.
 type Idle = Vec<Resting>;
 
@@ -72,12 +89,14 @@
     /// The newest idle connection to a replica, or a new one. One that still rests is waited for: that is short, and a
     /// new connection costs the replica work.
     pub async fn get(&self, peer: Peer) -> Result<Conn, NoConn> {
-        while let Some(Resting { until, conn, .. }) = self.reuse(peer) {
+        while let Some(resting) = self.reuse(peer) {
+            let until = resting.until;
             if until <= Instant::now() {
-                return Ok(conn);
+                return Ok(resting.conn);
             }
+            let mut wait = Wait { pool: self, peer, resting: Some(resting) };
             tokio::time::sleep_until(until).await;
-            if quiet(&conn.wire) {
+            if let Some(Resting { conn, .. }) = wait.resting.take().filter(|r| quiet(&r.conn.wire)) {
                 return Ok(conn);
             }
         }
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -82,7 +82,23 @@
     }
 }
 
-/// The same through the driver of attempts: the request right after one that is answered twice.
+/// Guards against new connections for clients that leave in the moment in which theirs rests.
+#[tokio::test]
+async fn a_connection_whose_rest_was_waited_for_in_vain_is_kept() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = (identity("s-1"), listener.local_addr().unwrap());
+    let pool = Pool::new(9, MINUTE, 9 * MINUTE);
+    let conn = pool.get(peer).await.ok().unwrap();
+    let (rested, _replica) = (conn.wire.get_ref().local_addr().unwrap(), listener.accept().unwrap().0);
+    tokio::time::pause();
+    pool.put(peer, conn, MINUTE);
+    assert!(tokio::time::timeout(MINUTE / 2, pool.get(peer)).await.is_err());
+    tokio::time::advance(MINUTE).await;
+    tokio::time::resume();
+    assert_eq!(pool.get(peer).await.ok().unwrap().wire.get_ref().local_addr().unwrap(), rested);
+}
+
+/// A replica that answers twice, through the driver of attempts: the request right after does not get the second one.
 #[tokio::test]
 async fn a_request_right_after_an_answer_does_not_meet_that_answer_again() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
