Ask for the list again by fixed times, and let what idle routers may send a cold replica lapse

At fault: Event::ListFailed in brain.rs; Watch::wait in transport/discovery.rs, which knew only of silent calls.

Now the module asks again after 0.96 to 3.84 s, drawn; a call after a refused one waits 2 s at most at the service, one after a silent one not at all, and either is given 2.2 s for its answer. Tried first and dropped: 0.4 to 1.2 s, and a call that waits for nothing after each failure, given up after 1 s.

Cold replicas: each idle router kept one send in reserve, and a burst made all of them at once: 54 in a second where chance and the rule explain 38 (60 routers and more, idle for 10 s and more; tests/cold_start.rs, seen failing). It lapses now while a router sends nothing.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,6 +17,11 @@
 const TICK: Seconds = 0.02;
 /// Held requests are answered this long before they expire, so that a late tick is still in time.
 const EXPIRY_MARGIN: Seconds = 0.03;
+/// After a failed call for the list the next comes after so long on the mean, spread since routers fail together, and
+/// at most 1.6 times that: with its answer that is before 6 s, when a change counts as told.
+const LIST_RETRY: Seconds = 2.4;
+/// The first calls of routers that start together are spread over at most this.
+const LIST_SPREAD: Seconds = 3.0;
 /// The window of a replica is this many even parts of the pool, and at least so many requests.
 const WINDOW_PARTS: f64 = 4.0;
 const LEAST_WINDOW: f64 = 4.0;
@@ -42,6 +47,8 @@
 /// Departure: other routers may hold work of higher worth. So work beyond a share uses only this part of
 /// the pool.
 const SPARE_PART: f64 = 0.4;
+/// A router that sends less than this in a second is idle.
+const IDLE_RATE: f64 = 0.1;
 /// Failures in a row that eject a replica.
 const EJECT_AFTER: u32 = 3;
 /// An ejected replica gets one trial in this time; one that said "full" is left alone as long.
@@ -71,15 +78,13 @@
             out.push(Action::Wake { after: TICK });
             // Routers that start together must not ask together: the list is one slow service for all.
             let place = (self.settings.me as f64 + self.rng.rand_float()) / self.settings.routers as f64;
-            self.ask_at = Some(self.now + place * self.settings.rules.ask_every / 4.0);
+            self.ask_at = Some(self.now + place * (self.settings.rules.ask_every / 4.0).min(LIST_SPREAD));
         }
         match event {
             Event::ListFull(list) => self.relist(list, true),
             Event::ListChanged(list) => self.relist(list, false),
             Event::ListFailed => {
-                // Routers whose call failed together must not call together again.
-                let part = 0.1 + 0.4 * self.rng.rand_float();
-                self.ask_at = Some(self.now + part * self.settings.rules.ask_every);
+                self.ask_at = Some(self.now + LIST_RETRY * (0.4 + 1.2 * self.rng.rand_float()));
             }
             Event::Arrived(arrival) if self.requests.contains_key(&arrival.id) => {}
             Event::Arrived(arrival) => self.arrive(arrival, out),
@@ -437,7 +442,8 @@
                     self.pool.cut(POOL_CUT.powf(self.pool.rare));
                 }
                 if streaming {
-                    self.broke(replica, sent);
+                    let r = self.replicas.get_mut(&replica).filter(|r| sent > r.broke_at);
+                    r.into_iter().for_each(|r| r.stream_broke(self.now, EJECT_AFTER, PAUSE));
                 }
                 let failed = self.replicas.get_mut(&replica).filter(|_| outcome != TimedOut);
                 failed.into_iter().for_each(|r| r.failed(self.now, EJECT_AFTER, PAUSE));
@@ -459,16 +465,6 @@
         self.forget(id);
     }
 
-    /// Departure: first tokens say nothing of how streams end. A replica whose streams stall or break in a
-    /// row is ejected until one is whole. Those of one crash break together and count once.
-    fn broke(&mut self, replica: ReplicaId, sent: Seconds) {
-        let Some(r) = self.replicas.get_mut(&replica).filter(|r| sent > r.broke_at) else { return };
-        (r.broken, r.broke_at) = (r.broken + 1, self.now);
-        if r.broken == EJECT_AFTER {
-            r.paused_until = self.now + PAUSE;
-        }
-    }
-
     /// Whether another attempt is in time, allowed, and by rule 2 without a second effect.
     fn may_repeat(&self, request: &Request) -> bool {
         let effect = self.settings.classes[request.arrival.class].effect;
@@ -515,9 +511,12 @@
             false => self.learned.sent.get(self.now) / self.pool.warm.max(1) as f64,
         };
         let rate = self.spending.rate(self.now, Spend::Cold).unwrap_or(rate);
+        // What an idle router may send a cold replica lapses: with a burst all of them would send it at once.
+        let idle = self.learned.sent.get(self.now) < IDLE_RATE;
         for (id, r) in &mut self.replicas {
             let credit = r.warmth(&self.settings.rules, self.now) * rate * TICK;
-            r.cold_credit = (r.cold_credit + credit).min(credit);
+            r.cold_credit =
+                (r.cold_credit + credit).min(credit) - if idle && r.cold_credit > 0.0 { 1.0 } else { 0.0 };
             if r.silent_since.is_some() && self.settings.limits.probes && r.up && self.now >= r.next_probe {
                 r.next_probe = self.now + PROBE_EVERY;
                 let may = self.spending.take(self.now, Spend::Probes, 0.0);
--- a/src/program/config/mod.rs
+++ b/src/program/config/mod.rs
@@ -38,6 +38,11 @@
 /// call must be answered within the rest of that, and a service that works through calls in turn may take a second
 /// for either.
 const WATCH_SLACK: Duration = Duration::from_millis(1000);
+/// After a refused call the next one waits so long at the service. Should it fall silent, its wait, the time for its
+/// answer and a new call are over before what was missed counts as told, 6 s after the silence began.
+const RETRY_WATCH: Duration = Duration::from_millis(2000);
+/// A crowded service keeps a call for up to 2 s before it answers or refuses it. Given up earlier, its work was in vain.
+const RETRY_SLACK: Duration = Duration::from_millis(2200);
 /// An agent on this machine answers at once and at no cost: a short wait finds a silent one early. What it has counts
 /// as told the moment it speaks again, so a call that it keeps in the dark is over within a part of the time for
 /// draining: at most these ...
@@ -127,6 +132,8 @@
             probe: PROBE,
             watch: if pushed { AGENT_WATCH.min(agent) } else { WATCH },
             watch_slack: if pushed { AGENT_SLACK.min(agent / 2) } else { WATCH_SLACK },
+            retry_watch: if pushed { Duration::ZERO } else { RETRY_WATCH },
+            retry_slack: if pushed { AGENT_SLACK.min(agent / 2) } else { RETRY_SLACK },
             linger: LINGER,
         };
         Ok(Config {
--- a/src/program/resolve.rs
+++ b/src/program/resolve.rs
@@ -160,6 +160,8 @@
         probe: none,
         watch: WATCH,
         watch_slack: Duration::from_millis(1500),
+        retry_watch: WATCH,
+        retry_slack: Duration::from_millis(1500),
         linger: none,
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -326,6 +326,15 @@
         }
     }
 
+    /// Counts a stream in a row that stalled or broke; those of one crash break together and count once. First tokens
+    /// say nothing of how streams end: after so many the replica is ejected until one is whole.
+    pub(crate) fn stream_broke(&mut self, now: Seconds, eject_after: u32, pause: Seconds) {
+        (self.broken, self.broke_at) = (self.broken + 1, now);
+        if self.broken == eject_after {
+            self.paused_until = now + pause;
+        }
+    }
+
     /// Counts a failure in a row. A replica that fails at once frees room at once, and would draw every held
     /// request: after so many it is paused.
     pub(crate) fn failed(&mut self, now: Seconds, most: u32, pause: Seconds) {
--- a/src/transport/discovery.rs
+++ b/src/transport/discovery.rs
@@ -1,7 +1,8 @@
 //! The watch of discovery's list: one long poll after the other on one connection, each with a time limit of its
 //! own. Where the list is asked for, a call that is refused or reset ends the watch and when it starts again is the
 //! module's to say; one that falls silent is made anew at once, since the service may well be there and the
-//! connection alone is broken. Where the list is pushed, the address is an agent on the node's own machine that
+//! connection alone is broken. After either the next call waits at the service for a short time or not at all, since
+//! silence shows only when the wait is over. Where the list is pushed, the address is an agent on the node's own machine that
 //! answers at no cost: the watch runs from the start and calls again by itself after a short pause.
 
 use super::clock::Clock;
@@ -33,6 +34,17 @@
 /// Where the fleet's budget has no call left, it is looked again after this.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// How the last call to the service ended.
+#[derive(Clone, Copy, Default, PartialEq)]
+enum LastCall {
+    #[default]
+    Answered,
+    /// It was refused, reset or answered with an error.
+    Refused,
+    /// No whole answer came within its time.
+    Silent,
+}
+
 /// The watch of one node.
 #[derive(Clone)]
 pub struct Watch {
@@ -48,8 +60,7 @@
     lately: Rc<RefCell<Option<String>>>,
     /// The list is pushed: the watch never waits for the module.
     pushed: bool,
-    /// The last call went unanswered: the next one asks for what is there now and waits for nothing more.
-    unanswered: Rc<Cell<bool>>,
+    last_call: Rc<Cell<LastCall>>,
     /// What the fleet allows of calls.
     calls: Rc<RefCell<Spendings>>,
     clock: Clock,
@@ -60,7 +71,7 @@
     pub fn new(addr: SocketAddr, bounds: Rc<Bounds>, tell: mpsc::Sender<Message>, clock: Clock) -> Self {
         let (moved, running, version, lately, calls) = Default::default();
         let (addr, enabled, pushed) = (Rc::new(Cell::new(addr)), Rc::new(Cell::new(true)), false);
-        let unanswered = Rc::default();
+        let last_call = Rc::default();
         Watch {
             addr,
             moved,
@@ -71,7 +82,7 @@
             version,
             lately,
             pushed,
-            unanswered,
+            last_call,
             calls,
             clock,
         }
@@ -146,13 +157,15 @@
         }
     }
 
-    /// How long the next call may wait at the service. Silence shows only after a whole long poll: so after a call
-    /// that went unanswered the next one is a short one, and whether anybody answers is known at once.
-    fn wait(&self) -> Duration {
-        if self.unanswered.get() {
-            Duration::ZERO
-        } else {
-            self.bounds.watch
+    /// How long the next call waits at the service, and how long the node waits for its answer beyond that. Silence
+    /// shows only after both: so after a silent call the next one waits for nothing, and whether anybody answers is
+    /// known at once. After a refused one it waits for a little: a service that has just come back has every node to
+    /// answer, and a call each must do.
+    fn wait(&self) -> (Duration, Duration) {
+        match self.last_call.get() {
+            LastCall::Answered => (self.bounds.watch, self.bounds.watch_slack),
+            LastCall::Refused => (self.bounds.retry_watch, self.bounds.retry_slack),
+            LastCall::Silent => (Duration::ZERO, self.bounds.retry_slack),
         }
     }
 
@@ -164,8 +177,8 @@
                 self.running.set(false);
                 return false;
             }
-            let wait = self.wait();
-            let limit = wait + self.bounds.watch_slack;
+            let (wait, slack) = self.wait();
+            let limit = wait + slack;
             let call = tokio::select! {
                 biased;
                 () = self.moved.notified() => {
@@ -179,7 +192,7 @@
             };
             match call {
                 Ok(Ok(update)) => {
-                    self.unanswered.set(false);
+                    self.last_call.set(LastCall::Answered);
                     if self.lately.replace(None).is_some() {
                         tracing::info!(source = LIST, "told again");
                     }
@@ -191,10 +204,13 @@
                         return false;
                     }
                 }
-                Ok(Err(why)) => break why,
+                Ok(Err(why)) => {
+                    self.last_call.set(LastCall::Refused);
+                    break why;
+                }
                 // Silence is not a refusal: the list goes on without this node until it has called anew, and what
                 // it misses counts as told. One new call, and no more: a service that is cut off stays silent.
-                Err(_) if !self.unanswered.replace(true) => {
+                Err(_) if self.last_call.replace(LastCall::Silent) != LastCall::Silent => {
                     tracing::info!(source = LIST, "the watch fell silent and is opened anew");
                     wire = None;
                 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -55,6 +55,10 @@
     pub watch: Duration,
     /// ... and its answer may take so much longer.
     pub watch_slack: Duration,
+    /// After a call that was refused the next one waits so long at discovery ...
+    pub retry_watch: Duration,
+    /// ... and the answer to a call after any failed one may take so much longer.
+    pub retry_slack: Duration,
     /// New connections are accepted for so long after the order to stop.
     pub linger: Duration,
 }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1243,3 +1243,28 @@
         assert!((2..=13).contains(&light), "{absurd}: {light} of 15");
     }
 }
+
+/// Guards against a pause that grows with the time the settings give for asking, and against routers that all come back
+/// to a service at once: a change counts as told 6 s after it could be had.
+#[test]
+fn a_failed_call_for_the_list_is_made_again_within_fixed_times_spread_over_routers() {
+    let mut pauses = Vec::new();
+    for me in 0..200 {
+        let rules = Rules { ask_every: 60.0, ..settings().rules };
+        let settings = Settings { me, routers: 200, rules, discovery: Discovery::Asked, ..settings() };
+        let mut brain = Brain::new(settings, me as u64).unwrap();
+        let (mut now, mut out) = (100.0, Vec::new());
+        brain.handle(now, Event::ListFailed, &mut out);
+        while !out.contains(&Action::Subscribe) {
+            now += 0.02;
+            assert!(now < 104.0, "router {me} has not asked again");
+            brain.handle(now, Event::Woke, &mut out);
+        }
+        pauses.push(now - 100.0);
+    }
+    pauses.sort_by(f64::total_cmp);
+    // No tenth of a second in which more than a tenth of them come.
+    for (n, pause) in pauses.iter().enumerate() {
+        assert!(pauses[n..].iter().filter(|p| **p < pause + 0.1).count() <= 20, "a herd at {pause}");
+    }
+}
--- /dev/null
+++ b/tests/cold_start.rs
@@ -0,0 +1,103 @@
+//! Cold replicas under the sum of many routers that share nothing: what each sends by itself must add up to no more
+//! than the settings allow and chance explains.
+
+#[allow(dead_code)] // each file of tests uses a part
+#[path = "support/rig.rs"]
+mod rig;
+
+use poppykeel::interface::*;
+use poppykeel::Brain;
+use proptest::prelude::*;
+use rig::*;
+
+const TICK: Seconds = 0.02;
+const REPLICAS: usize = 8;
+/// The replica that has just started, and how warm it begins.
+const COLD: usize = 0;
+const COLD_FROM: f64 = 0.15;
+/// Requests a second that one warm replica is worth, and the part of it that tenants may use.
+const CAPACITY: f64 = 8.0;
+const QUOTA: f64 = 0.8;
+/// Seconds that each case is played for after the start was told.
+const LENGTH: Seconds = 20.0;
+
+#[derive(Clone, Debug)]
+struct Case {
+    routers: usize,
+    seed: u64,
+    /// Seconds without any request after the start was told.
+    idle: Seconds,
+    /// Requests that come to each router at once when the idle time is over.
+    burst: usize,
+    /// Requests a second that come to the first router alone afterwards.
+    uneven: usize,
+}
+
+fn case() -> impl Strategy<Value = Case> {
+    let routers = prop_oneof![Just(4), Just(20), Just(30), Just(60), Just(300)];
+    (routers, any::<u64>(), 0.0..19.0f64, 1usize..12, 0usize..60)
+        .prop_map(|(routers, seed, idle, burst, uneven)| Case { routers, seed, idle, burst, uneven })
+}
+
+fn router(case: &Case, me: usize) -> Brain {
+    let tenant = Tenant { share: 1.0, allowance: QUOTA * CAPACITY * REPLICAS as f64 };
+    let rules = Rules { cold_from: COLD_FROM, overload_factor: 4.0, fall: 1.0, ..settings().rules };
+    let settings = Settings { me, routers: case.routers, tenants: vec![tenant], rules, ..settings() };
+    Brain::new(settings, case.seed.wrapping_add(me as u64)).unwrap()
+}
+
+/// Times at which one of the routers sent to the cold replica.
+fn sends_to_cold(case: &Case) -> Vec<Seconds> {
+    let start = 100.0;
+    let mut sent = Vec::new();
+    for me in 0..case.routers {
+        let mut brain = router(case, me);
+        let mut out = Vec::new();
+        let born = |n: usize| (n == COLD).then_some(start);
+        let list = (0..REPLICAS).map(|n| listing(n, ReplicaState::Up, born(n))).collect();
+        brain.handle(start, Event::ListFull(list), &mut out);
+        let mut id = 0;
+        let mut arrive = |brain: &mut Brain, now: Seconds, out: &mut Vec<Action>| {
+            id += 1;
+            brain.handle(now, Event::Arrived(request(id, 0, 0, 10.0)), out);
+        };
+        for tick in 0..(LENGTH / TICK) as usize {
+            let now = start + tick as f64 * TICK;
+            brain.handle(now, Event::Woke, &mut out);
+            if tick == (case.idle / TICK) as usize {
+                (0..case.burst).for_each(|_| arrive(&mut brain, now, &mut out));
+            }
+            if me == 0 && now > start + case.idle && tick % 50 < case.uneven.min(50) {
+                arrive(&mut brain, now, &mut out);
+            }
+            sent.extend(sends(&out).iter().filter(|s| s.1 == replica(COLD)).map(|_| now));
+            out.clear();
+        }
+    }
+    sent.sort_by(f64::total_cmp);
+    sent
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 24,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against routers that each keep one send in reserve while they are idle: with a burst all of them spend
+    /// it at once, however many they are.
+    #[test]
+    fn all_routers_together_keep_to_what_a_cold_replica_bears(case in case()) {
+        let sent = sends_to_cold(&case);
+        for (first, at) in sent.iter().enumerate() {
+            let within = sent[first..].iter().take_while(|t| **t < at + 1.0).count() as f64;
+            // The rule counts against what the replica bears at the window's end.
+            let warmth = COLD_FROM + (1.0 - COLD_FROM) * (at - 100.0) / settings().rules.cold;
+            let allowed = 4.0 * CAPACITY * warmth;
+            let bound = allowed + 2.0 * allowed.sqrt() + 2.0;
+            prop_assert!(within <= bound, "{within} sends within a second of {at}, {bound:.1} allowed");
+        }
+    }
+}
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -28,7 +28,9 @@
 fn bounds(slack: Duration) -> Rc<Bounds> {
     let config = include_str!("exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
     let config = Config::read(&config.replace("DISCOVERY", "127.0.0.1:2"), &[]).unwrap();
-    Rc::new(Bounds { watch: Duration::from_millis(50), watch_slack: slack, ..config.bounds })
+    let watch = Duration::from_millis(50);
+    let retry_watch = Duration::from_millis(30);
+    Rc::new(Bounds { watch, watch_slack: slack, retry_watch, retry_slack: slack, ..config.bounds })
 }
 
 /// Takes the next call, on the connection given or on a new one.
@@ -128,6 +130,71 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a call that waits in the dark for a whole long poll after the service was down: a refused call is
+/// followed by one that waits for little, and one that falls silent by one that waits for nothing.
+#[tokio::test]
+async fn after_a_refusal_the_next_call_waits_for_little_and_its_silence_shows_soon() {
+    let refusals = [
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 90\r\nConnection: close\r\n\r\n{\"version\":42,\"full\"",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nno list\r\n",
+    ];
+    let test = async {
+        for refusal in refusals {
+            let (service, watch, mut core) = watching(Duration::from_secs(2), false).await;
+            let (mut refused, _) = called(&service, None).await;
+            refused.write_all(refusal.as_bytes()).await.unwrap();
+            drop(refused);
+            assert_eq!(told(&mut core).await, Told::Failed);
+            // When to call again is the module's to say.
+            watch.start();
+            let (_silent, text) = called(&service, None).await;
+            assert!(text.contains("since=41&timeout_ms=30 "), "{text}");
+            let (mut anew, text) = called(&service, None).await;
+            assert!(text.contains("since=41&timeout_ms=0 "), "{text}");
+            answer(&mut anew, DRAIN).await;
+            assert!(matches!(told(&mut core).await, Told::Changes(changes) if changes.len() == 1));
+            let (_anew, text) = called(&service, Some(anew)).await;
+            assert!(text.contains("since=42&timeout_ms=50 "), "{text}");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against answers in a form that is rare: no change at all, the whole list where changes were asked for, and a
+/// list with an older number, as a service has that lost its count. What it says last is what holds.
+#[tokio::test]
+async fn whatever_form_an_answer_has_the_next_call_follows_its_number() {
+    let whole = DRAIN.replace("false", "true");
+    let older = whole.replace("42", "7");
+    let test = async {
+        for (body, since, entries, full) in
+            [(NOTHING, 41, 0, false), (whole.as_str(), 42, 1, true), (older.as_str(), 7, 1, true)]
+        {
+            let (service, _watch, mut core) = watching(Duration::from_secs(2), false).await;
+            let (mut stream, _) = called(&service, None).await;
+            answer(&mut stream, body).await;
+            match told(&mut core).await {
+                Told::Whole(list) => assert!(full && list.len() == entries),
+                Told::Changes(list) => assert!(!full && list.len() == entries),
+                Told::Failed => panic!("the core heard of a failure"),
+            }
+            let (_stream, text) = called(&service, Some(stream)).await;
+            assert!(text.contains(&format!("since={since}&timeout_ms=50 ")), "{text}");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// The time from a refused call to the list, while it can be had, is under 6 s by the node's own figures alone.
+#[test]
+fn a_refused_call_a_silent_one_and_a_new_one_fit_into_six_seconds() {
+    let config = include_str!("exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
+    let bounds = Config::read(&config.replace("DISCOVERY", "127.0.0.1:2"), &[]).unwrap().bounds;
+    assert!(bounds.retry_watch + bounds.retry_slack < Duration::from_secs(6));
+    assert!(bounds.retry_slack >= Duration::from_secs(2), "a crowded service answers after 2 s");
+}
+
 /// Guards against a new address that inherits a call, or the pause after a failed one, from the old service.
 #[tokio::test]
 async fn a_watch_that_moves_while_a_call_waits_calls_at_the_new_address_at_once() {
