Keep sessions where they were read: learn homes by tokens, price reading by what runs there

So sessions were scattered, not evicted (running requests held 0.15 of the memory).

At fault: Learned::found in state/learned.rs took each request alike, and most are first turns, which have nothing to be found; so homes were believed too little and passed over, and then there was little to be found. And guess in brain/estimate.rs priced a second of reading alike whether three requests run there or thirty. Now the mean is over tokens, 0.8 at first, and reading costs for each request that runs where it is done. A home that leaves a probe unanswered for half a tick is taken to keep nothing.

The verbose log shows session, opening and prompt of a request, and a node's start its zone.

--- a/src/brain/estimate.rs
+++ b/src/brain/estimate.rs
@@ -22,8 +22,8 @@
 const TAIL_LIFE: Seconds = 5.0;
 /// A replica that leaves a probe unanswered for a tick is taken to keep a request this much longer.
 const NO_ANSWER: Seconds = 0.3;
-/// A second of reading is taken from all requests there: what it costs, in requests.
-const WORK_PRICE: f64 = 0.6;
+/// Reading holds up all that run there: what a second of it costs for each of them, in requests.
+const WORK_PRICE: f64 = 0.15;
 /// A place taken is one that later requests lack: what a full batch, or a full memory, costs, in requests.
 const PLACE_PRICE: f64 = 0.3;
 /// Costs differ by less than this, in requests, where the draw shall be nearly even.
@@ -61,16 +61,13 @@
         let a = &request.arrival;
         let prompt = a.prompt_tokens as f64;
         let place = a.session.and_then(|s| self.learned.places.get(s));
-        let home = if place.is_none() { self.homes(a).first().copied() } else { None };
+        // A home that leaves a probe unanswered may have been started anew: nothing is taken to be kept there.
+        let silent = |r: &Replica| r.asked && self.now > r.next_probe - PROBE_EVERY + TICK / 2.0;
+        let home = || self.homes(a).first().copied().filter(|home| !silent(&self.replicas[home]));
+        let home = if place.is_none() { home() } else { None };
         let left = (request.useful_until - self.now).max(EXPIRY_MARGIN);
-        Outlook {
-            prompt,
-            prefix: (a.prefix_tokens as f64).min(prompt),
-            place,
-            home,
-            left,
-            others: self.others(),
-        }
+        let (prefix, others) = ((a.prefix_tokens as f64).min(prompt), self.others());
+        Outlook { prompt, prefix, place, home, left, others }
     }
 
     /// What would be found kept: the turns before where this router sent them, else what homes have shown.
@@ -117,8 +114,8 @@
         // Where reports do not say what a replica holds, half of this guess is believed.
         let sure = if r.holding.is_some() { 1.0 } else { 0.5 };
         let taken = (held / batch * hold / self.learned.hold_time * sure).min(8.0);
-        let cost =
-            late + crossing + WORK_PRICE * unread * pace + PLACE_PRICE * (taken + r.memory_held.min(1.0));
+        let work = WORK_PRICE * (held + 1.0) * unread * pace;
+        let cost = late + crossing + work + PLACE_PRICE * (taken + r.memory_held.min(1.0));
         let free = 1.0 + LEAST_WEIGHT - r.memory_held.clamp(0.0, 1.0);
         (Attempt::new(to, self.now, unread, kept, first), free * (-cost / EVEN).exp())
     }
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -153,7 +153,7 @@
     let shared =
         Rc::new(Shared::new(boot.clone(), bounds.clone(), tell.clone(), phases.clone(), streams.clone()));
     spawn_local(accept(listener, shared.clone(), phases));
-    tracing::info!(node = %config.name, listen = %bound, "serving on {bound}");
+    tracing::info!(node = %config.name, listen = %bound, zone = boot.settings.zone, "serving on {bound}");
     let admin = Rc::new(Admin {
         tell: tell.clone(),
         phase: phase.clone(),
--- a/src/state/learned.rs
+++ b/src/state/learned.rs
@@ -48,6 +48,12 @@
     }
 }
 
+/// Tokens expected to be found kept, the mean before any answer; the weight of one answer in that mean, and the most
+/// that one long prompt counts in a hit rate.
+const FIRST_MEAN_DUE: f64 = 1000.0;
+const DUE_WEIGHT: f64 = 0.05;
+const MOST_WEIGHT: f64 = 0.5;
+
 /// Time for a prompt token before any was seen.
 pub(crate) const FIRST_PACE: Seconds = 0.0005;
 
@@ -83,6 +89,8 @@
     pub(crate) batches: BTreeMap<usize, f64>,
     /// For each [`Kept`], the part of what was expected that was found kept.
     pub(crate) kept: [f64; 3],
+    /// For each of them, the mean of tokens that were expected.
+    pub(crate) mean_due: [f64; 3],
     pub(crate) places: Places,
     /// Tokens of cost that a second of work told by requests stands for, the geometric mean.
     pub(crate) tokens_a_second: Option<f64>,
@@ -102,8 +110,9 @@
             paces: BTreeMap::new(),
             holds: BTreeMap::new(),
             batches: BTreeMap::new(),
-            // Of a session that this router does not know little is known: less than half are later turns.
-            kept: [1.0, 0.3, 1.0],
+            // Believed too little, homes are passed over, and then there is little to be found there.
+            kept: [1.0, 0.8, 1.0],
+            mean_due: [FIRST_MEAN_DUE; 3],
             places: Places::default(),
             tokens_a_second: None,
             typical: 0.0,
@@ -143,8 +152,12 @@
             Kept::Turns => (found, read),
         };
         if due >= 1.0 {
-            let mean = &mut self.kept[sent.kept as usize];
-            *mean += weight * ((found / due).clamp(0.0, 1.0) - *mean);
+            // The mean is over tokens, not requests: first turns are many, and they have little to be found.
+            let mean_due = &mut self.mean_due[sent.kept as usize];
+            let weight = (weight * due / *mean_due).min(MOST_WEIGHT);
+            *mean_due += DUE_WEIGHT * (due - *mean_due);
+            let hit_rate = &mut self.kept[sent.kept as usize];
+            *hit_rate += weight * ((found / due).clamp(0.0, 1.0) - *hit_rate);
         }
         if let Some(session) = arrival.session {
             self.places.put(session, sent.replica, prompt);
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -394,7 +394,12 @@
 fn log_input(input: &Input) {
     match input {
         Input::Arrived(a) => {
-            tracing::debug!(request = %a.id, class = a.class, tenant = a.tenant, "arrived");
+            let (session, prefix) = (a.session, a.prefix);
+            let (prompt_tokens, prefix_tokens) = (a.prompt_tokens, a.prefix_tokens);
+            let (request, class, tenant) = (a.id, a.class, a.tenant);
+            tracing::debug!(
+                %request, class, tenant, session, prefix, prompt_tokens, prefix_tokens, "arrived"
+            );
         }
         Input::ClientGone(id) => tracing::debug!(request = %id, "client gone"),
         Input::First { request, attempt } => tracing::debug!(%request, attempt, "first event"),
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1268,3 +1268,66 @@
         assert!(pauses[n..].iter().filter(|p| **p < pause + 0.1).count() <= 20, "a herd at {pause}");
     }
 }
+
+/// A router of one replica that has served requests of new sessions: `due` prompt tokens each, of which `found` were
+/// found kept. Returned is the part of a prompt it then expects to find at a session's home.
+fn expected_at_home(requests: impl IntoIterator<Item = (u64, f64)>) -> f64 {
+    let mut rig = Rig::new(settings(), 1);
+    for (n, (due, found)) in requests.into_iter().enumerate() {
+        let n = n as u64 + 1;
+        rig.tell(Event::Arrived(Arrival { prompt_tokens: due, ..request(n, 0, 0, 10.0) }));
+        rig.start(n, 0.1);
+        let (request, outcome) = (RequestId(n), Outcome::Served);
+        let report = Some(Report { kept: Some(found), ..Report::default() });
+        rig.tell(Event::Ended { request, attempt: 0, outcome, last: true, report });
+    }
+    rig.brain.memory().kept[1]
+}
+
+/// Guards against homes that are passed over since most requests are first turns, which have nothing to be found: the
+/// long prompts of later turns are what reading them elsewhere would cost.
+#[test]
+fn what_is_found_at_homes_is_learned_by_tokens() {
+    // Four first turns for each later one, whose prompt is fifteen times as long and found whole.
+    let turns = (0..200).map(|n| if n % 5 == 4 { (15_000, 15_000.0) } else { (1_000, 0.0) });
+    let expected = expected_at_home(turns);
+    assert!(expected > 0.6, "{expected}: 79 in a hundred tokens were found");
+    let nothing = expected_at_home((0..200).map(|_| (8_000, 0.0)));
+    assert!(nothing < 0.1, "{nothing} is still expected where nothing was found");
+}
+
+/// Guards against turns that are read anew elsewhere because their replica is a little busier: reading holds up all
+/// that run where it is done.
+#[test]
+fn the_more_requests_run_the_more_a_long_prompt_stays_with_its_replica() {
+    let mut stayed = 0;
+    for seed in 0..40 {
+        let mut rig = Rig { brain: Brain::new(settings(), seed).unwrap(), ..Rig::new(settings(), 0) };
+        rig.tell(Event::ListFull((0..2).map(|n| listing(n, ReplicaState::Up, None)).collect()));
+        let turn = |n: u64, prompt_tokens: u64| {
+            Event::Arrived(Arrival { session: Some(7), prompt_tokens, ..request(n, 0, 0, 30.0) })
+        };
+        let home = sends(&rig.tell(turn(1, 600)))[0].1;
+        rig.start(1, 0.1);
+        let report = Some(Report { kept: Some(0.0), ..Report::default() });
+        let (request_id, outcome) = (RequestId(1), Outcome::Served);
+        rig.tell(Event::Ended { request: request_id, attempt: 0, outcome, last: true, report });
+        // Others come until both are busy, and the other replica gets rid of a few of its requests more.
+        let mut held = std::collections::BTreeMap::new();
+        for n in 100..128 {
+            for (n, to) in sends(&rig.tell(Event::Arrived(request(n, 0, 0, 30.0)))) {
+                rig.start(n, 0.05);
+                held.entry(to).or_insert_with(Vec::new).push(n);
+            }
+        }
+        let at_home = held[&home].len();
+        assert!(at_home >= 8, "{at_home} at home");
+        for (to, requests) in held {
+            let keep = if to == home { at_home } else { at_home.saturating_sub(3) };
+            requests.iter().skip(keep).for_each(|n| drop(rig.end(*n, 0, Outcome::Served, true)));
+        }
+        let sent = sends(&rig.tell(turn(2, 600)));
+        stayed += usize::from(sent.first().is_some_and(|s| s.1 == home));
+    }
+    assert!(stayed >= 36, "{stayed} of 40 went to where the turn before was read");
+}
