Begin no attempt for a client whose departure waits behind other messages

At fault: Hub::take and carry_out, which did not ask whether anybody still holds the other end of the answer; ask in transport/client.rs, which waited for room without looking at the client. Now a request whose client has left is not taken, each send looks first, and a client that leaves while there is no room is seen. Behind more bytes than are read ahead the kernel is asked every 20 ms, not 50, so that with the rest of a connection 0.1 s is kept.

tests/hub.rs, seen failing without either guard (the request reached the replica; its repeat did).

The reserve of descriptors was 64, and 16 clients on their way out, 32 being turned away, 32 calling operators and the process's own are more: it is their sum now, 96. tests/rare.rs fills a node with idle clients and silent operators while discovery is down; it passes with the old figure, too, so the fault is reckoned, not seen.

--- a/src/program/config/mod.rs
+++ b/src/program/config/mod.rs
@@ -5,6 +5,9 @@
 pub mod operator;
 
 use crate::protocol::discovery::{self, Update};
+use crate::transport::admin::MOST_CALLERS;
+use crate::transport::clients::MOST_LEAVING;
+use crate::transport::listener::MOST_TURNED_AWAY;
 use crate::transport::Bounds;
 use crate::wire::Boot;
 use serde_json::Value;
@@ -14,8 +17,12 @@
 /// Limits where the configuration tells none: those of the smallest machine that a node runs on.
 const MEMORY_MB: u64 = 192;
 const SOCKETS: u64 = 1024;
-/// Descriptors kept for the listener, discovery, the runtime and clients being turned away.
-const SPARE_SOCKETS: u64 = 64;
+/// Descriptors of the process itself: standard streams, runtime, signals, listeners, the file of what was learned, and
+/// calls to discovery at an old and a new address.
+const OWN_SOCKETS: usize = 16;
+/// Descriptors that clients' and replicas' connections leave free, so that whoever fills those can take none of these:
+/// the process's own, and clients on their way out, being turned away or calling as operators.
+const SPARE_SOCKETS: u64 = (OWN_SOCKETS + MOST_LEAVING + MOST_TURNED_AWAY + MOST_CALLERS) as u64;
 /// Less than this leaves no room for both sides.
 const LEAST_SOCKETS: u64 = 128;
 const LEAST_MEMORY_MB: u64 = 32;
--- a/src/transport/admin.rs
+++ b/src/transport/admin.rs
@@ -20,7 +20,7 @@
 use tokio_util::codec::Framed;
 
 /// Callers at once; for one more the oldest is let go, since whoever is answered does not stay.
-const MOST_CALLERS: usize = 32;
+pub const MOST_CALLERS: usize = 32;
 /// A call must be whole within this time.
 const CALL: Duration = Duration::from_secs(2);
 /// An answer must be taken within this time.
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -24,7 +24,7 @@
 /// Bytes of further requests that are read while an answer is awaited.
 const AHEAD: usize = 16 * 1024;
 /// Behind more bytes than these a close is looked for so often.
-const LOOK: Duration = Duration::from_millis(50);
+const LOOK: Duration = Duration::from_millis(20);
 /// A connection that comes while idle ones are closed has so long to send its request.
 const FIRST_REQUEST: Duration = Duration::from_millis(250);
 /// When a client may come again that found no room for its body.
@@ -275,9 +275,11 @@
         let (answer, answered) = oneshot::channel();
         let asker = self.shared.asker();
         self.asker = asker;
-        let told = self.shared.tell.send(Message::Request { arrival, payload, answer, asker }).await;
-        if told.is_err() {
-            return Ok(Err(Leave));
+        // The core may be behind: a client that leaves while there is no room for its request is not waited for.
+        let tell = self.shared.tell.clone();
+        match self.until_gone(tell.reserve()).await? {
+            Ok(place) => place.send(Message::Request { arrival, payload, answer, asker }),
+            Err(_) => return Ok(Err(Leave)),
         }
         Ok(self.until_gone(answered).await?.map_err(|_| Leave))
     }
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -88,7 +88,7 @@
 }
 
 /// Connections that have been told to go and have not gone yet.
-const MOST_LEAVING: usize = 16;
+pub const MOST_LEAVING: usize = 16;
 
 /// Bytes of one body, counted against the bound while they are held.
 pub struct Hold(Rc<Shared>, usize);
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -121,6 +121,9 @@
                 let _ = answer.send(Answer::Duplicate);
                 return;
             }
+            Message::Request { arrival, answer, .. } if answer.is_closed() => {
+                return tracing::debug!(request = %arrival.id, "its client left while it waited to be taken");
+            }
             Message::Request { arrival, payload, answer, asker } => {
                 self.remember(arrival.id, asker);
                 let class = self.upstream.boot.settings.classes.get(arrival.class);
@@ -335,6 +338,10 @@
         for command in std::mem::take(&mut self.commands) {
             log_command(&command);
             match command {
+                Command::Send { request, .. } if self.has_left(request) => {
+                    self.clients.remove(&request);
+                    self.router.handle(now, Input::ClientGone(request), &mut self.commands);
+                }
                 Command::Send { request, attempt, replica, until } => {
                     let addr = self.directory.addr(replica);
                     let payload = self.clients.get(&request).map(|c| c.payload.clone());
@@ -384,6 +391,12 @@
         }
     }
 
+    /// Whether nobody waits for this request's answer any more. The client's departure may still be on its way behind
+    /// other messages, and no attempt may begin meanwhile.
+    fn has_left(&self, request: RequestId) -> bool {
+        self.clients.get(&request).is_some_and(|client| client.answer.is_closed())
+    }
+
     fn answer(&mut self, request: RequestId, answer: Answer) {
         if let Some(client) = self.clients.remove(&request) {
             let _ = client.answer.send(answer);
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 /// Connections beyond the bound that are being told so; further ones wait in the kernel's queue.
-const MOST_TURNED_AWAY: usize = 32;
+pub const MOST_TURNED_AWAY: usize = 32;
 /// How long a client beyond the bound is given to send its request and take its answer.
 const TURN_AWAY: Duration = Duration::from_millis(500);
 /// When a client beyond the bound may come again.
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -65,19 +65,26 @@
         answer_limit: 1,
         repeat: false,
     };
-    let payload =
-        Payload { head: b"POST /v1/chat/completions HTTP/1.1\r\n".to_vec(), body: Default::default() };
+    let head = format!("POST /v1/chat/completions?id={id} HTTP/1.1\r\n").into_bytes();
+    let payload = Payload { head, body: Default::default() };
     let (answer, answered) = oneshot::channel();
     (Message::Request { arrival, payload, answer, asker }, answered)
 }
 
 async fn taken(replica: &TcpListener) -> TcpStream {
+    taken_with_id(replica).await.0
+}
+
+/// The next request at this replica, with the id that its target ends in.
+async fn taken_with_id(replica: &TcpListener) -> (TcpStream, RequestId) {
     let mut stream = tokio::time::timeout(PATIENCE, replica.accept()).await.unwrap().unwrap().0;
     let mut text = Vec::new();
     while !text.ends_with(b"\r\n\r\n") {
         text.push(stream.read_u8().await.unwrap());
     }
-    stream
+    let text = String::from_utf8(text).unwrap();
+    let id = text.split_once("?id=").and_then(|(_, rest)| rest.split(' ').next()).unwrap();
+    (stream, RequestId(id.parse().unwrap()))
 }
 
 /// Guards against a client that ends another one's request: it sends an id that is in use, and leaves before it has
@@ -110,3 +117,35 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against attempts that begin for a client that has left while the news of it waits behind other messages: the
+/// first attempt of a request, and the repeat of one that was reset.
+#[tokio::test]
+async fn no_attempt_begins_for_a_client_whose_departure_is_still_on_its_way() {
+    let replica = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let test = async {
+        let tell = hub(&replica);
+        let (unsent, answered) = request(7, 1);
+        drop(answered);
+        tell.send(unsent).await.ok().unwrap();
+
+        let (reset, answered) = request(8, 2);
+        tell.send(reset).await.ok().unwrap();
+        // Had the first one been sent on, its connection would come before this one.
+        let stream = taken(&replica).await;
+        drop(answered);
+        stream.set_zero_linger().unwrap();
+        drop(stream);
+
+        let (last, _answered) = request(9, 3);
+        let (done, summed) = oneshot::channel();
+        // The reset is seen and answered before the last request is told.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        tell.send(Message::SumUp(done)).await.ok().unwrap();
+        summed.await.unwrap();
+        tell.send(last).await.ok().unwrap();
+        let (_stream, id) = taken_with_id(&replica).await;
+        assert_eq!(id, RequestId(9), "an attempt began for a client that has left");
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -323,3 +323,49 @@
     // A few connections to the server stay for later use.
     until("the room", || descriptors() <= before + 16);
 }
+
+/// Guards against idle clients that take all descriptors while discovery is down: calls for the list, servers, operators
+/// and clients that ask keep theirs, and the process stays below what it may hold.
+#[test]
+fn idle_clients_that_fill_the_descriptors_leave_those_of_discovery_servers_and_operators() {
+    const MAY_HOLD: usize = 128;
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let service = discovery.local_addr().unwrap();
+    drop(discovery);
+    let standin = Standin::start(vec![Script { tokens: 3, ..Script::default() }]).unwrap();
+    let node = Node::with_sockets("idle", standin.addrs(), &service.to_string(), MAY_HOLD);
+    let descriptors = || std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).unwrap().count();
+    let mut admin = None;
+    until("the operators' address", || {
+        let log = node.log.lock().unwrap();
+        let line = log.iter().find_map(|l| l.split("operators call at ").nth(1).map(String::from));
+        admin = line.and_then(|l| l.split('"').next()?.parse::<SocketAddr>().ok());
+        admin.is_some()
+    });
+    let admin = admin.unwrap();
+    let mut idle = Vec::new();
+    let mut most = 0;
+    for n in 0..4 * MAY_HOLD {
+        idle.push(connect(&node));
+        // Operators that say nothing hold theirs, too.
+        if n % 4 == 0 {
+            idle.push(TcpStream::connect(admin).unwrap());
+        }
+        most = most.max(descriptors());
+        if n % 64 == 63 {
+            // New connections may be shut unread while idle ones fill the node; their clients come again.
+            until("an answer among idle clients", || {
+                let (id, mut client) = ask(&node, "among idle ones", 3);
+                read(id, "among idle ones", 3, &mut client).outcome == Outcome::Whole
+            });
+        }
+    }
+    assert!(most <= MAY_HOLD, "{most} descriptors");
+    let mut operator = TcpStream::connect(admin).unwrap();
+    operator.write_all(b"GET /api/ready HTTP/1.1\r\n\r\n").unwrap();
+    assert!(rest(&mut operator).starts_with("HTTP/1.1 200 "));
+    // Discovery is back: the node's call comes, whoever else is there.
+    let discovery = TcpListener::bind(service).unwrap();
+    let _watch = taken(&discovery);
+    assert!(descriptors() <= MAY_HOLD);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -38,6 +38,13 @@
         Node::process(name, servers, [operator, semantics, discovery], None)
     }
 
+    #[allow(dead_code)] // each file of tests uses a part
+    /// One whose process may hold so many descriptors.
+    pub fn with_sockets(name: &str, servers: &[SocketAddr], discovery: &str, sockets: usize) -> Node {
+        let change = |config: String| config.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
+        Node::changed("n0", name, servers, ["", "safe", discovery], None, change)
+    }
+
     #[allow(dead_code)] // for fleets of nodes alone
     /// One of this name in its configuration; `test` keeps its files apart from those of other tests.
     pub fn named(me: &str, test: &str, servers: &[SocketAddr], operator: &str) -> Node {
@@ -55,6 +62,18 @@
         servers: &[SocketAddr],
         texts: [&str; 3],
         listen: Option<SocketAddr>,
+    ) -> Node {
+        Node::changed(me, name, servers, texts, listen, |config| config)
+    }
+
+    /// The same with the configuration changed before the start.
+    fn changed(
+        me: &str,
+        name: &str,
+        servers: &[SocketAddr],
+        texts: [&str; 3],
+        listen: Option<SocketAddr>,
+        change: impl FnOnce(String) -> String,
     ) -> Node {
         let [operator, semantics, discovery] = texts;
         let entry = |(n, addr): (usize, &SocketAddr)| {
@@ -68,6 +87,7 @@
         let (from, to) = (config.find("{\"id\"").unwrap(), config.find("]},").unwrap());
         let config =
             config.replace(&config[from..to], &list).replace("\"safe\"", &format!("\"{semantics}\""));
+        let config = change(config);
         let file = |kind: &str, text: &str| {
             let path = std::env::temp_dir().join(format!("streams-{name}-{}.{kind}", std::process::id()));
             std::fs::write(&path, text).unwrap();
