Draw the cheapest replica however dear all are, and let sessions go home beside the pool

Seen in a module test: with a long prompt on busy replicas e to the minus cost over 0.005 is 0 for all, and the last candidate was taken. At fault: draw in brain.rs.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,15 +10,14 @@
 
 mod estimate;
 mod ledger;
-use estimate::BASE_TOKENS;
+use estimate::{BASE_TOKENS, EVEN};
 pub use ledger::Brain;
 
 /// How often all requests are looked over; small against any aim, cheap against the CPU.
 const TICK: Seconds = 0.02;
 /// Held requests are answered this long before they expire, so that a late tick is still in time.
 const EXPIRY_MARGIN: Seconds = 0.03;
-/// After a failed call for the list the next comes after so long on the mean, spread since routers fail together, and
-/// at most 1.6 times that: with its answer that is before 6 s, when a change counts as told.
+/// After a failed call for the list the next comes after this on the mean, drawn, at most 1.6 times it.
 const LIST_RETRY: Seconds = 2.4;
 /// The first calls of routers that start together are spread over at most this.
 const LIST_SPREAD: Seconds = 3.0;
@@ -84,7 +83,7 @@
             Event::ListFull(list) => self.relist(list, true),
             Event::ListChanged(list) => self.relist(list, false),
             Event::ListFailed => {
-                self.ask_at = Some(self.now + LIST_RETRY * (0.4 + 1.2 * self.rng.rand_float()));
+                self.ask_at = Some(self.now + LIST_RETRY * (0.4 + 1.2 * self.rng.rand_float()))
             }
             Event::Arrived(arrival) if self.requests.contains_key(&arrival.id) => {}
             Event::Arrived(arrival) => self.arrive(arrival, out),
@@ -310,8 +309,11 @@
         let worth = self.settings.classes[request.arrival.class].worth;
         let reserve = if worth < self.backlog.tiers[0].worth { CROSSINGS_KEPT } else { 0.0 };
         let cross = self.spending.may(self.now, Spend::Crossings, reserve);
-        let open = |_: &ReplicaId, r: &Replica| {
-            self.has_room(r, pooled) && self.may_go(request, r) && (cross || r.zone == self.settings.zone)
+        // Departure: what a session has at its home is read anew elsewhere: no pool binds there.
+        let home = self.homes(&request.arrival).first().copied().filter(|_| self.pool.rare > 1.0);
+        let open = |to: &ReplicaId, r: &Replica| {
+            let room = self.has_room(r, pooled || home == Some(*to));
+            room && self.may_go(request, r) && (cross || r.zone == self.settings.zone)
         };
         let new =
             |to: &ReplicaId, r: &Replica| open(to, r) && !request.attempts.iter().any(|a| a.replica == *to);
@@ -324,10 +326,12 @@
             order = fit(&open);
         }
         let outlook = self.outlook(request);
+        let guesses: Vec<_> = order.iter().map(|to| self.guess(*to, &self.replicas[to], &outlook)).collect();
+        // Against the least cost: else, where all are dear, all weights were nothing and the last was drawn.
+        let least = guesses.iter().map(|guess| guess.1).fold(f64::INFINITY, f64::min);
         let (mut chosen, mut total) = (None, 0.0);
-        for to in order {
-            let r = &self.replicas[&to];
-            let (attempt, weight) = self.guess(to, r, &outlook);
+        for (attempt, cost, free) in guesses {
+            let weight = free * ((least - cost) / EVEN).exp();
             total += weight;
             if self.rng.rand_float() * total <= weight {
                 chosen = Some(attempt);
--- a/src/brain/estimate.rs
+++ b/src/brain/estimate.rs
@@ -22,12 +22,13 @@
 const TAIL_LIFE: Seconds = 5.0;
 /// A replica that leaves a probe unanswered for a tick is taken to keep a request this much longer.
 const NO_ANSWER: Seconds = 0.3;
-/// Reading holds up all that run there: what a second of it costs for each of them, in requests.
+/// Reading holds up all that run there: a second's cost for each; so many more where its last turn is known.
 const WORK_PRICE: f64 = 0.15;
+const LEAST_HELD: f64 = 4.0;
 /// A place taken is one that later requests lack: what a full batch, or a full memory, costs, in requests.
 const PLACE_PRICE: f64 = 0.3;
 /// Costs differ by less than this, in requests, where the draw shall be nearly even.
-const EVEN: f64 = 0.005;
+pub(super) const EVEN: f64 = 0.005;
 /// A replica that has answered nothing since an overdue send is taken to go on so for this part of that time.
 const SILENCE: f64 = 0.5;
 /// A replica whose memory is full is drawn this much as often as an empty one, not never.
@@ -61,10 +62,9 @@
         let a = &request.arrival;
         let prompt = a.prompt_tokens as f64;
         let place = a.session.and_then(|s| self.learned.places.get(s));
-        // A home that leaves a probe unanswered may have been started anew: nothing is taken to be kept there.
+        // A home that leaves a probe unanswered may have been started anew, and then keeps nothing.
         let silent = |r: &Replica| r.asked && self.now > r.next_probe - PROBE_EVERY + TICK / 2.0;
-        let home = || self.homes(a).first().copied().filter(|home| !silent(&self.replicas[home]));
-        let home = if place.is_none() { home() } else { None };
+        let home = self.homes(a).first().copied().filter(|h| place.is_none() && !silent(&self.replicas[h]));
         let left = (request.useful_until - self.now).max(EXPIRY_MARGIN);
         let (prefix, others) = ((a.prefix_tokens as f64).min(prompt), self.others());
         Outlook { prompt, prefix, place, home, left, others }
@@ -84,8 +84,8 @@
     }
 
     /// Reading, waiting for a place in the batch, and how far the last answers there ran over.
-    /// With it goes how often the replica is drawn beside others.
-    pub(super) fn guess(&self, to: ReplicaId, r: &Replica, o: &Outlook) -> (Attempt, f64) {
+    /// With it go its cost, and how often the replica is drawn beside others of that cost.
+    pub(super) fn guess(&self, to: ReplicaId, r: &Replica, o: &Outlook) -> (Attempt, f64, f64) {
         let (found, kept) = self.kept(o, to);
         let unread = o.prompt - found;
         let pace = self.learned.pace_of(r.kind) * FIRST_PACE;
@@ -99,9 +99,7 @@
         let spread = (o.others.max(0.1) * (1.0 - known * known) + HELD_VARIANCE).sqrt() / 1.7;
         let over = ((held + 1.0 - batch) / spread).min(30.0);
         let mut wait = (over.exp().ln_1p() * spread).max(held + 1.0 - batch) * hold / batch;
-        if r.holding.is_none() {
-            wait += r.queued * self.freshness(r) * hold / batch;
-        }
+        wait += if r.holding.is_none() { r.queued * self.freshness(r) * hold / batch } else { 0.0 };
         if r.oldest.0 > r.life && self.now > r.oldest.1 {
             wait += SILENCE * (self.now - r.oldest.0).min(LONG_SILENCE);
         }
@@ -114,9 +112,10 @@
         // Where reports do not say what a replica holds, half of this guess is believed.
         let sure = if r.holding.is_some() { 1.0 } else { 0.5 };
         let taken = (held / batch * hold / self.learned.hold_time * sure).min(8.0);
-        let work = WORK_PRICE * (held + 1.0) * unread * pace;
+        let held_up = held + if o.place.is_some() { LEAST_HELD } else { 1.0 };
+        let work = WORK_PRICE * held_up * unread * pace;
         let cost = late + crossing + work + PLACE_PRICE * (taken + r.memory_held.min(1.0));
         let free = 1.0 + LEAST_WEIGHT - r.memory_held.clamp(0.0, 1.0);
-        (Attempt::new(to, self.now, unread, kept, first), free * (-cost / EVEN).exp())
+        (Attempt::new(to, self.now, unread, kept, first), cost, free)
     }
 }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -987,6 +987,34 @@
     }
 }
 
+/// Guards against sessions that are scattered over idle replicas, where all is read anew, since the pool is used up and
+/// their home is not idle.
+#[test]
+fn a_session_goes_to_its_home_beside_a_used_up_pool() {
+    let mut s = Settings { routers: 100, ..settings() };
+    s.classes[0].aim = 10.0;
+    for n in 0..20 {
+        let mut rig = one_of_many();
+        rig.brain = Brain::new(s.clone(), n).unwrap();
+        rig.tell(Event::ListFull((0..4).map(|n| listing(n, ReplicaState::Up, None)).collect()));
+        // The pool of one of a hundred holds a single request, and this one stays.
+        for replica in asked(&rig.tell(Event::Arrived(request(1, 0, 0, 60.0)))) {
+            probed(&mut rig, replica, 0.0, 0.1);
+        }
+        rig.wait(1.1);
+        // All reports are old by now: the session's whole order is asked.
+        rig.wait(1.1);
+        let later = Arrival { session: Some(100 + n), prompt_tokens: 20_000, ..request(2, 0, 0, 60.0) };
+        let order = asked(&rig.tell(Event::Arrived(later)));
+        let mut sent = Vec::new();
+        for replica in order.iter().rev() {
+            let tokens = if *replica == order[0] { 1_000.0 } else { 0.0 };
+            sent.extend(sends(&probed(&mut rig, *replica, tokens, 0.1)));
+        }
+        assert_eq!(sent, [(2, order[0])]);
+    }
+}
+
 /// Guards against small fleets that pay for probes they do not need: their reports come with every answer.
 #[test]
 fn where_answers_are_many_nothing_is_asked() {
