--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -20,6 +20,7 @@
 use crate::wire::Boot;
 use crate::Brain;
 use std::cell::Cell;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -85,6 +86,14 @@
     Ok((config, operator, Rc::new(next)))
 }
 
+/// Says that the node drains, before all else: what is answered from here on is the last on its connection. Then hands
+/// over, for at most the time in which clients still come, and closes.
+async fn drain(phase: &watch::Sender<Phase>, hand_over: impl Future<Output = ()>, linger: Duration) {
+    let _ = phase.send(Phase::Draining);
+    let _ = tokio::join!(tokio::time::timeout(linger, hand_over), tokio::time::sleep(linger));
+    let _ = phase.send(Phase::Closing);
+}
+
 async fn run(
     mut config: Config,
     operator: Operator,
@@ -210,15 +219,12 @@
     if let Some(fleet) = &fleet {
         fleet.leave();
     }
-    // Before all else: what is answered from here on says that it is the last on its connection.
-    let _ = phase.send(Phase::Draining);
     let leave = async {
         if let Some(handover) = &handover {
             handover.leave().await;
         }
     };
-    tokio::join!(leave, tokio::time::sleep(bounds.linger));
-    let _ = phase.send(Phase::Closing);
+    drain(&phase, leave, bounds.linger).await;
     tokio::time::sleep(LOOK).await;
     while shared.open() > 0 {
         tokio::time::sleep(LOOK).await;
@@ -230,3 +236,6 @@
     tracing::info!(node = %config.name, "done");
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -369,3 +369,72 @@
     let _watch = taken(&discovery);
     assert!(descriptors() <= MAY_HOLD);
 }
+
+/// The payload of a chunked body as far as it has come.
+fn payload(mut chunks: &str) -> String {
+    let mut text = String::new();
+    while let Some((size, rest)) = chunks.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).unwrap();
+        text.push_str(&rest[..size.min(rest.len())]);
+        chunks = rest.get(size + 2..).unwrap_or("");
+    }
+    text
+}
+
+/// Guards against events that wait behind a flush, or in a buffer for more to come: each one has reached the client
+/// before its server writes the next, also where it comes in two parts or in a burst that waits for the client.
+#[test]
+fn each_event_reaches_its_client_before_the_next_is_written() {
+    let replica = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Node::start("events", &[replica.local_addr().unwrap()], "", "safe");
+    let mut client = connect(&node);
+    client.write_all(request("00000000000000f1", "Connection: close\r\n", "").as_bytes()).unwrap();
+    let mut stream = taken(&replica);
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    let (mut text, mut piece) = (String::new(), vec![0; 65_536]);
+    let mut sent = String::new();
+    for n in 0..40 {
+        // Some come in a burst that a socket's buffer does not hold, so that a flush has to wait for the client.
+        let (times, lines) = if n % 10 == 5 { (80, 15) } else { (1, 1) };
+        let event = format!("{}\n", format!("data: {n} {}\n", "x".repeat(3000)).repeat(lines));
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len()).repeat(times);
+        let (first, second) = chunk.split_at(chunk.len() / 2);
+        sent.push_str(&event.repeat(times));
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                stream.write_all(first.as_bytes()).unwrap();
+                stream.write_all(second.as_bytes()).unwrap();
+            });
+            let come = |text: &str| text.split_once("\r\n\r\n").map_or(0, |(_, body)| payload(body).len());
+            while come(&text) < sent.len() {
+                let length = client.read(&mut piece).unwrap();
+                assert!(length > 0, "the stream ended before event {n}");
+                text.push_str(&String::from_utf8_lossy(&piece[..length]));
+            }
+        });
+    }
+    stream.write_all(b"0\r\n\r\n").unwrap();
+    text.push_str(&rest(&mut client));
+    assert_eq!(payload(text.split_once("\r\n\r\n").unwrap().1), sent);
+}
+
+/// A service that has lost its count says the whole list with an older number: what it says last is what holds, for the
+/// whole node.
+#[test]
+fn a_whole_list_with_an_older_number_is_followed() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let service = discovery.local_addr().unwrap().to_string();
+    let script = || Standin::start(vec![Script { tokens: 3, ..Script::default() }]).unwrap();
+    let (left, stays) = (script(), script());
+    let node = Node::with_list("older", left.addrs(), "", "safe", &service);
+    let mut watch = taken(&discovery);
+    let list = entry("s-9", stays.addrs()[0], "up");
+    let body = format!(r#"{{"version":7,"full":true,"servers":[{list}]}}"#);
+    write!(watch, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+    until("the list", || node.log.lock().unwrap().iter().any(|l| l.contains("s-9")));
+    for _ in 0..5 {
+        let (id, mut client) = ask(&node, "older", 3);
+        assert_eq!(read(id, "older", 3, &mut client).outcome, Outcome::Whole);
+    }
+    assert_eq!((left.records().len(), stays.records().len()), (0, 5));
+}
--- /dev/null
+++ b/tests/support/drivers.rs
@@ -0,0 +1,24 @@
+//! What the drivers of single connections share in a node, for tests that run a driver without the node round it.
+
+use poppykeel::program::config::Config;
+use poppykeel::transport::clients::Shared;
+use poppykeel::transport::clock::Clock;
+use poppykeel::transport::messages::{Message, Phase};
+use poppykeel::transport::streams::Streams;
+use std::rc::Rc;
+use tokio::sync::{mpsc, watch};
+
+/// A small configuration whose replica and discovery are never there.
+pub fn config() -> Config {
+    let text = include_str!("../exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
+    Config::read(&text.replace("DISCOVERY", "127.0.0.1:2"), &[]).unwrap()
+}
+
+/// What a client connection shares with the others, and where the core would take what it tells: one message at a time.
+pub fn shared(phases: watch::Receiver<Phase>) -> (Rc<Shared>, mpsc::Receiver<Message>) {
+    let config = config();
+    let (tell, told) = mpsc::channel(1);
+    let streams = Rc::new(Streams::new(Clock::start(), Default::default()));
+    let shared = Shared::new(Rc::new(config.boot), Rc::new(config.bounds), tell, phases, streams);
+    (Rc::new(shared), told)
+}
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -1,12 +1,14 @@
 //! The drivers on loopback sockets, with the runtime's clock fed: no real time passes and none is asserted.
 
+#[path = "support/drivers.rs"]
+mod drivers;
+
+use drivers::{config, shared};
 use futures_util::{SinkExt, StreamExt};
 use poppykeel::interface::RequestId;
-use poppykeel::program::config::Config;
 use poppykeel::protocol::http::{Out, Part};
 use poppykeel::routing::directory::identity;
 use poppykeel::transport::client::Client;
-use poppykeel::transport::clients::Shared;
 use poppykeel::transport::clock::Clock;
 use poppykeel::transport::listener::accept;
 use poppykeel::transport::messages::{Payload, Phase};
@@ -103,8 +105,7 @@
 async fn a_request_right_after_an_answer_does_not_meet_that_answer_again() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let peer = (identity("s-1"), listener.local_addr().unwrap());
-    let config = include_str!("exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
-    let config = Config::read(&config.replace("DISCOVERY", "127.0.0.1:2"), &[]).unwrap();
+    let config = config();
     let (tell, _told) = mpsc::channel(16);
     let clock = Clock::start();
     let upstream = Upstream {
@@ -142,15 +143,6 @@
     tokio::task::LocalSet::new().run_until(test).await;
 }
 
-/// What a client connection of a node shares with the others; nobody takes what it tells.
-fn shared(phases: watch::Receiver<Phase>) -> Rc<Shared> {
-    let config = include_str!("exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
-    let config = Config::read(&config.replace("DISCOVERY", "127.0.0.1:2"), &[]).unwrap();
-    let (tell, _told) = mpsc::channel(1);
-    let streams = Rc::new(Streams::new(Clock::start(), Default::default()));
-    Rc::new(Shared::new(Rc::new(config.boot), Rc::new(config.bounds), tell, phases, streams))
-}
-
 /// Guards against requests lost at the end: they are in the kernel, and the runtime has had no turn since they came.
 #[tokio::test]
 async fn what_the_kernel_has_when_the_node_closes_is_answered() {
@@ -161,7 +153,7 @@
         text
     };
     let (phase, phases) = watch::channel(Phase::Serving);
-    let shared = shared(phases.clone());
+    let (shared, _) = shared(phases.clone());
     let test = async {
         // A connection that nobody has accepted yet.
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -199,12 +191,10 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_request_that_is_never_whole_ends_its_connection() {
-    let config = include_str!("exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
-    let config = Config::read(&config.replace("DISCOVERY", "127.0.0.1:2"), &[]).unwrap();
-    let read = config.bounds.read;
+    let read = config().bounds.read;
     assert!(read < Duration::from_secs(3));
     let (_phase, phases) = watch::channel(Phase::Serving);
-    let shared = shared(phases);
+    let (shared, _) = shared(phases);
     for (bytes, answer) in [
         ("", ""),
         ("POST /v1/", "HTTP/1.1 408 "),
