--- a/crates/lab/src/breaks/relay.rs
+++ b/crates/lab/src/breaks/relay.rs
@@ -5,6 +5,8 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -78,11 +80,20 @@
     both_at((0..50).map(|_| 0)).await
 }
 
-/// The same, where no outgoing connection takes it while the process that it is for is down.
+/// The same, where no outgoing connection takes it while the process that it is for is down. Each is given out once in a
+/// process: a fleet lets go of its ports for the moment in which its nodes start, and another one must not take them.
 pub async fn lasting() -> std::io::Result<(UdpSocket, TcpListener)> {
-    // Below the range from which the system takes ports by itself.
-    let from: u16 = rand::rng().random_range(0..LASTING);
-    both_at((0..LASTING).map(|n| FIRST + (from + n) % LASTING)).await
+    both_at((0..LASTING).map(|_| next_lasting())).await
+}
+
+/// The next port below the range from which the system takes ports by itself.
+fn next_lasting() -> u16 {
+    static FIRST_TAKEN: OnceLock<u16> = OnceLock::new();
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    // Two processes that play at once begin at different ones.
+    let first = *FIRST_TAKEN.get_or_init(|| rand::rng().random_range(0..LASTING));
+    let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+    FIRST + (first + taken % LASTING) % LASTING
 }
 
 async fn both_at(ports: impl Iterator<Item = u16>) -> std::io::Result<(UdpSocket, TcpListener)> {
@@ -155,3 +166,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
