--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 const HEALTH: &[u8] = b"GET /healthz HTTP/1.1\r\n\r\n";
 const HEALTHY: &str = "HTTP/1.1 200 ";
@@ -88,17 +88,23 @@
     }
 }
 
-/// Guards against an attempt for nobody: the core is behind and has no room for a request whose client leaves.
-#[tokio::test]
-async fn a_client_that_leaves_while_the_core_has_no_room_for_its_request_is_never_told_of_later() {
+/// A client whose request has come and waits, since the core has no room for it; and what the core is told.
+async fn waiting_for_room() -> (std::net::TcpStream, Driver, mpsc::Receiver<Message>) {
     let (_phase, phases) = watch::channel(Phase::Serving);
-    let (shared, mut told) = shared(phases);
+    let (shared, told) = shared(phases);
     let (mut client, mut driver) = connection(shared.clone()).await;
     let (done, _summed) = oneshot::channel();
     shared.tell.try_send(Message::SumUp(done)).unwrap();
     client.write_all(REQUEST).unwrap();
     turn().await;
     assert!(poll_once(&mut driver).await.is_pending());
+    (client, driver, told)
+}
+
+/// Guards against an attempt for nobody: the core is behind and has no room for a request whose client leaves.
+#[tokio::test]
+async fn a_client_that_leaves_while_the_core_has_no_room_for_its_request_is_never_told_of_later() {
+    let (client, mut driver, mut told) = waiting_for_room().await;
     drop(client);
     turn().await;
     assert!(poll_once(&mut driver).await.is_pending());
@@ -111,14 +117,7 @@
 /// Where room and close come in one instant the request may be told of, and its client's departure follows at once.
 #[tokio::test]
 async fn a_client_that_leaves_in_the_instant_in_which_the_core_has_room_is_followed_by_its_departure() {
-    let (_phase, phases) = watch::channel(Phase::Serving);
-    let (shared, mut told) = shared(phases);
-    let (mut client, mut driver) = connection(shared.clone()).await;
-    let (done, _summed) = oneshot::channel();
-    shared.tell.try_send(Message::SumUp(done)).unwrap();
-    client.write_all(REQUEST).unwrap();
-    turn().await;
-    assert!(poll_once(&mut driver).await.is_pending());
+    let (client, mut driver, mut told) = waiting_for_room().await;
     drop(client);
     assert!(matches!(told.try_recv(), Ok(Message::SumUp(_))));
     turn().await;
