--- a/src/brain.rs
+++ b/src/brain.rs
@@ -133,6 +133,12 @@
         self.resize();
     }
 
+    /// The pool follows the warm replicas at once: a router that sends little would learn it too late.
+    fn resize(&mut self) {
+        let warm = self.replicas.values().filter(|r| r.up && !self.cold(r)).count();
+        self.pool.resize(warm, FIRST_POOL / self.settings.routers as f64);
+    }
+
     fn arrive(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
         let id = arrival.id;
         let Some(class) = self.settings.classes.get(arrival.class) else {
@@ -242,6 +248,10 @@
         r.silent_since.is_some() || r.failures >= EJECT_AFTER || r.broken >= EJECT_AFTER
     }
 
+    fn cold(&self, r: &Replica) -> bool {
+        r.warmth(&self.settings.rules, self.now) < 1.0
+    }
+
     /// Departure: what a cold replica may get is bounded by time; the pool is for the warm ones.
     fn has_room(&self, r: &Replica, pooled: bool) -> bool {
         let open = self.now >= r.paused_until || (self.most_ejected && r.silent_since.is_none());
@@ -299,11 +309,8 @@
         let worth = self.settings.classes[request.arrival.class].worth;
         let reserve = if worth < self.backlog.tiers[0].worth { CROSSINGS_KEPT } else { 0.0 };
         let cross = self.spending.may(self.now, Spend::Crossings, reserve);
-        // Departure: what a session has at its home is read anew elsewhere. A prompt that can't be read anew
-        // within its aim goes home beside the pool; others would be more work there and save little.
-        let outlook = self.outlook(request);
-        let dear = |home: &ReplicaId| self.reading_anew(*home, &outlook) >= request.aim;
-        let home = self.homes(&request.arrival).first().copied().filter(|h| self.pool.rare > 1.0 && dear(h));
+        // Departure: what a session has at its home is read anew elsewhere: no pool binds there.
+        let home = self.homes(&request.arrival).first().copied().filter(|_| self.pool.rare > 1.0);
         let open = |to: &ReplicaId, r: &Replica| {
             let room = self.has_room(r, pooled || home == Some(*to));
             room && self.may_go(request, r) && (cross || r.zone == self.settings.zone)
@@ -318,6 +325,7 @@
         if order.is_empty() {
             order = fit(&open);
         }
+        let outlook = self.outlook(request);
         let guesses: Vec<_> = order.iter().map(|to| self.guess(*to, &self.replicas[to], &outlook)).collect();
         // Against the least cost: else, where all are dear, all weights were nothing and the last was drawn.
         let least = guesses.iter().map(|guess| guess.1).fold(f64::INFINITY, f64::min);
--- a/src/brain/estimate.rs
+++ b/src/brain/estimate.rs
@@ -83,11 +83,6 @@
         }
     }
 
-    /// Time to read a whole prompt anew.
-    pub(super) fn reading_anew(&self, at: ReplicaId, o: &Outlook) -> Seconds {
-        o.prompt * self.learned.pace_of(self.replicas[&at].kind) * FIRST_PACE
-    }
-
     /// Reading, waiting for a place in the batch, and how far the last answers there ran over.
     /// With it go its cost, and how often the replica is drawn beside others of that cost.
     pub(super) fn guess(&self, to: ReplicaId, r: &Replica, o: &Outlook) -> (Attempt, f64, f64) {
--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -214,16 +214,6 @@
         }
     }
 
-    /// The pool follows the warm replicas at once: a router that sends little would learn it too late.
-    pub(super) fn resize(&mut self) {
-        let warm = self.replicas.values().filter(|r| r.up && !self.cold(r)).count();
-        self.pool.resize(warm, FIRST_POOL / self.settings.routers as f64);
-    }
-
-    pub(super) fn cold(&self, r: &Replica) -> bool {
-        r.warmth(&self.settings.rules, self.now) < 1.0
-    }
-
     pub(super) fn pool_in_flight(&self) -> usize {
         self.replicas.values().filter(|r| r.up && !self.cold(r)).map(|r| r.in_flight).sum()
     }
