Log what becomes of each request and connection in a shutdown, and count closes by reason

The incident's logs said nothing between the order to stop and the next start. Now each connection has a number, each close a typed reason, and from the order on the log says with the time since it what was taken, answered and closed. Figures: app_client_closes and app_attempt_ends. The client driver is split into reading requests and passing streams on; what it does is unchanged.

--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -168,6 +168,7 @@
         phase: phase.clone(),
         reloads: Cell::default(),
         fleet: fleet.clone(),
+        clients: shared.clone(),
     });
     let (mut taken, mut turned_down) = (0, 0);
     if let Some(listener) = admins {
@@ -215,7 +216,8 @@
         }
         admin.reloads.set((taken, turned_down));
     }
-    tracing::info!(node = %config.name, "draining");
+    shared.shutdown.order();
+    tracing::info!(node = %config.name, connections = shared.open(), "draining");
     if let Some(fleet) = &fleet {
         fleet.leave();
     }
@@ -225,6 +227,8 @@
         }
     };
     drain(&phase, leave, bounds.linger).await;
+    let since_stop_ms = shared.shutdown.elapsed_ms();
+    tracing::info!(node = %config.name, connections = shared.open(), since_stop_ms, "closing");
     tokio::time::sleep(LOOK).await;
     while shared.open() > 0 {
         tokio::time::sleep(LOOK).await;
@@ -233,7 +237,7 @@
     if tell.send(Message::SumUp(done)).await.is_ok() {
         let _ = summed.await;
     }
-    tracing::info!(node = %config.name, "done");
+    tracing::info!(node = %config.name, since_stop_ms = shared.shutdown.elapsed_ms(), "done");
     Ok(())
 }
 
--- a/src/protocol/admin.rs
+++ b/src/protocol/admin.rs
@@ -48,6 +48,10 @@
     pub crossings: Vec<(String, String, u64)>,
     /// Of the node's part in its fleet, by name, where it has one.
     pub fleet: Vec<(String, u64)>,
+    /// Attempts that ended otherwise than served, by outcome.
+    pub attempt_ends: Vec<(&'static str, u64)>,
+    /// Clients' connections closed, by reason.
+    pub closes: Vec<(&'static str, u64)>,
 }
 
 /// Reads which call a head is for.
@@ -106,6 +110,12 @@
     for (name, value) in rest {
         let _ = writeln!(body, "app_{name} {value}");
     }
+    for (outcome, count) in &f.attempt_ends {
+        let _ = writeln!(body, "app_attempt_ends{{outcome=\"{outcome}\"}} {count}");
+    }
+    for (reason, count) in &f.closes {
+        let _ = writeln!(body, "app_client_closes{{why=\"{reason}\"}} {count}");
+    }
     answer("text/plain", &body)
 }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -127,6 +127,8 @@
     sent: Micros,
     until: Micros,
     stage: Stage,
+    /// How it ended.
+    outcome: Option<Outcome>,
 }
 
 #[derive(Debug, Default)]
@@ -144,6 +146,17 @@
     Timeout(RequestId, usize),
 }
 
+/// Ends of attempts that are counted, with their names in figures.
+pub const COUNTED_ENDS: [(Outcome, &str); 7] = [
+    (Outcome::Error, "error"),
+    (Outcome::Full, "full"),
+    (Outcome::TimedOut, "timed_out"),
+    (Outcome::ConnectFailed, "connect_failed"),
+    (Outcome::Reset, "reset"),
+    (Outcome::Cancelled, "cancelled"),
+    (Outcome::Rejected, "rejected"),
+];
+
 /// Figures for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counts {
@@ -161,8 +174,8 @@
     pub gone: u64,
     /// Attempts sent.
     pub sent: u64,
-    /// Attempts that ended as error, full, timed out, connect failed, reset, cancelled and rejected.
-    pub ends: [u64; 7],
+    /// Attempts that ended otherwise than served, in the order of [`COUNTED_ENDS`].
+    pub ends: [u64; COUNTED_ENDS.len()],
 }
 
 /// The core of one node.
@@ -238,6 +251,14 @@
     pub fn waiting(&self) -> Vec<usize> {
         self.brain.gauges().2
     }
+    /// Attempts that ended otherwise than served, by the names of [`COUNTED_ENDS`].
+    pub fn attempt_ends(&self) -> Vec<(&'static str, u64)> {
+        COUNTED_ENDS.iter().zip(self.counts.ends).map(|((_, name), count)| (*name, count)).collect()
+    }
+    /// How the last attempt of a request ended that has ended, if any has: why there is another one.
+    pub fn last_outcome(&self, request: RequestId) -> Option<Outcome> {
+        self.live.get(&request)?.attempts.iter().rev().find_map(|attempt| attempt.outcome)
+    }
     /// What has happened so far.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -322,6 +343,7 @@
         let Some(a) = live.attempts.get_mut(attempt).filter(|a| a.stage != Stage::Ended) else { return };
         let streaming = a.stage == Stage::Streaming;
         a.stage = Stage::Ended;
+        a.outcome = Some(outcome);
         self.timers.remove(&(a.until, Due::Timeout(request, attempt)));
         let mut whole = None;
         if streaming && !live.finished {
@@ -333,16 +355,7 @@
                 false => self.counts.broken += 1,
             }
         }
-        let kinds = [
-            Outcome::Error,
-            Outcome::Full,
-            Outcome::TimedOut,
-            Outcome::ConnectFailed,
-            Outcome::Reset,
-            Outcome::Cancelled,
-            Outcome::Rejected,
-        ];
-        if let Some(kind) = kinds.iter().position(|k| *k == outcome) {
+        if let Some(kind) = COUNTED_ENDS.iter().position(|(kind, _)| *kind == outcome) {
             self.counts.ends[kind] += 1;
         }
         let last = live.finished;
@@ -384,7 +397,7 @@
                 let Some(live) = self.live.get_mut(&request) else { return };
                 let attempt = live.attempts.len();
                 let until = now.saturating_add(micros(timeout));
-                live.attempts.push(Attempt { sent: now, until, stage: Stage::Waiting });
+                live.attempts.push(Attempt { sent: now, until, stage: Stage::Waiting, outcome: None });
                 if live.answered {
                     return self.end(request, attempt, Outcome::Moot, None);
                 }
--- a/src/transport/admin.rs
+++ b/src/transport/admin.rs
@@ -1,6 +1,7 @@
 //! The operators' own address: one call a connection, answered whatever the load, whoever else stays silent there.
 
 use super::client::discard;
+use super::clients::Shared;
 use super::fleet::Fleet;
 use super::messages::{Message, Phase};
 use super::Wire;
@@ -38,6 +39,8 @@
     pub reloads: Cell<(u64, u64)>,
     /// The node's part in its fleet, where it has one.
     pub fleet: Option<Rc<Fleet>>,
+    /// What clients' connections share.
+    pub clients: Rc<Shared>,
 }
 
 impl Admin {
@@ -88,7 +91,8 @@
                 match told.await.ok().filter(|_| asked) {
                     Some(told) => {
                         let fleet = self.fleet.as_ref().map(|fleet| fleet.figures()).unwrap_or_default();
-                        admin::figures(&Figures { reloads: self.reloads.get(), fleet, ..told })
+                        let closes = self.clients.closes.all();
+                        admin::figures(&Figures { reloads: self.reloads.get(), fleet, closes, ..told })
                     }
                     None => request::own_answer(503, "the node is ending", None, true),
                 }
--- /dev/null
+++ b/src/transport/client/requests.rs
@@ -0,0 +1,135 @@
+//! Reads requests off a client's connection: heads, bodies, and when neither comes any more.
+
+use super::{Client, Leave};
+use crate::protocol::http::{Fault, Head, Out, Part};
+use crate::protocol::request::{Reject, MOST_BODY};
+use crate::transport::clients::Hold;
+use crate::transport::closes::CloseReason;
+use crate::transport::messages::Phase;
+use crate::transport::unread;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A connection that comes while idle ones are closed has so long to send its request.
+const FIRST_REQUEST: Duration = Duration::from_millis(250);
+/// When a client may come again that found no room for its body.
+const AGAIN_US: u64 = 500_000;
+
+impl Client {
+    /// The head of the next request on this connection.
+    pub(super) async fn next_head(&mut self) -> Result<Box<Head>, Leave> {
+        let next = match self.ahead.take() {
+            Some(ahead) => {
+                self.until = Instant::now() + self.shared.bounds.read;
+                ahead
+            }
+            None => self.wait_for_request().await.map_err(Leave)?,
+        };
+        match next {
+            Ok(Part::Head(head)) => Ok(head),
+            Ok(_) => Err(Leave(CloseReason::Rejected)),
+            Err(fault) => Err(self.fault(fault).await),
+        }
+    }
+
+    /// Waits for a request until the connection is to end, and says then why.
+    async fn wait_for_request(&mut self) -> Result<Result<Part, Fault>, CloseReason> {
+        let (mark, leave) = self.shared.rests();
+        let (known, mut phase) = (self.requests > 0, self.shared.phase.clone());
+        let closing = async {
+            let closed = phase.wait_for(|p| matches!(p, Phase::Evacuated | Phase::Closing)).await;
+            let reason = match closed.as_deref() {
+                Ok(Phase::Evacuated) => CloseReason::Evacuated,
+                _ => CloseReason::Shutdown,
+            };
+            drop(closed);
+            if !known {
+                // It has only just come: closed unheard, its request would have to be sent anew.
+                tokio::time::sleep(FIRST_REQUEST).await;
+            }
+            reason
+        };
+        let next = tokio::select! {
+            biased;
+            next = self.rest() => next,
+            reason = closing => Err(reason),
+            // Another needs the place: it is not kept for a client that does not see the end.
+            () = leave.notified() => Err(CloseReason::Evicted),
+        };
+        self.shared.busy(mark);
+        match next {
+            // Bytes have come in the very moment of the close: they are a request, to be read and answered.
+            Err(reason) if reason != CloseReason::ClientLeft && self.begun() => self.rest().await,
+            next => next,
+        }
+    }
+
+    /// Waits for the next request's head, and says why where none comes: the client has left or has rested for too long.
+    async fn rest(&mut self) -> Result<Result<Part, Fault>, CloseReason> {
+        if self.requests > 0 {
+            // A kept connection may rest; from the first byte on, the request has its limit.
+            if self.wire.read_buffer().is_empty() {
+                let mut byte = [0];
+                let peeked = self.wire.get_ref().peek(&mut byte);
+                match tokio::time::timeout(self.shared.bounds.client_idle, peeked).await {
+                    Ok(Ok(_)) => {}
+                    Ok(Err(_)) => return Err(CloseReason::ClientLeft),
+                    Err(_) if self.begun() => {}
+                    Err(_) => return Err(CloseReason::Idle),
+                }
+            }
+            self.until = Instant::now() + self.shared.bounds.read;
+        }
+        match tokio::time::timeout_at(self.until, self.wire.next()).await {
+            Ok(next) => next.ok_or(CloseReason::ClientLeft),
+            Err(_) if !self.begun() => Err(CloseReason::NeverAsked),
+            Err(_) => Ok(Err(Fault::Slow)),
+        }
+    }
+
+    /// Bytes of a request are here. The kernel is asked, too: the runtime may not have seen them yet.
+    fn begun(&self) -> bool {
+        !self.wire.read_buffer().is_empty() || matches!(unread(self.wire.get_ref()), Ok(1..))
+    }
+
+    /// Reads a body, within its own limit and that of all bodies together.
+    #[allow(clippy::type_complexity)]
+    pub(super) async fn read(
+        &mut self,
+        head: &Head,
+        hold: &mut Hold,
+    ) -> Result<Result<Bytes, (Reject, Option<u64>)>, Leave> {
+        let too_long =
+            || Reject { status: 413, reason: format!("the body is longer than {MOST_BODY} bytes") };
+        let expected = head.length.unwrap_or(0);
+        if expected > MOST_BODY as u64 {
+            return Ok(Err((too_long(), None)));
+        }
+        if head.headers.has("expect", "100-continue") {
+            self.send(Out::Raw(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"))).await?;
+        }
+        let mut body = Vec::with_capacity(expected as usize);
+        loop {
+            let part = match tokio::time::timeout_at(self.until, self.wire.next()).await {
+                Ok(Some(Ok(part))) => part,
+                Ok(Some(Err(fault))) => return Err(self.fault(fault).await),
+                Ok(None) => return Err(Leave(CloseReason::ClientLeft)),
+                Err(_) => return Err(self.fault(Fault::Slow).await),
+            };
+            match part {
+                Part::Body(bytes) if body.len() + bytes.len() > MOST_BODY => {
+                    return Ok(Err((too_long(), None)));
+                }
+                Part::Body(bytes) if hold.more(bytes.len()) => body.extend_from_slice(&bytes),
+                Part::Body(_) => {
+                    let reason = "this node holds as many requests as it may".to_string();
+                    return Ok(Err((Reject { status: 503, reason }, Some(AGAIN_US))));
+                }
+                Part::End => return Ok(Ok(body.into())),
+                Part::Head(_) => return Err(Leave(CloseReason::Rejected)),
+            }
+        }
+    }
+}
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -1,6 +1,8 @@
 //! What all clients' connections share: bounds on their number and on what they hold, and who rests.
 
+use super::closes::CloseCounts;
 use super::messages::{Asker, Message, Phase};
+use super::shutdown::Shutdown;
 use super::streams::Streams;
 use super::Bounds;
 use crate::wire::Boot;
@@ -21,8 +23,13 @@
     pub phase: watch::Receiver<Phase>,
     /// What all streams share.
     pub streams: Rc<Streams>,
+    /// The order to stop.
+    pub shutdown: Shutdown,
+    /// Why connections have ended.
+    pub closes: CloseCounts,
     held: Cell<usize>,
     open: Cell<usize>,
+    accepted: Cell<u64>,
     /// By age alone. With those first that had sent nothing yet, a flood of silent connections pushed usual
     /// clients out whose first request was about to come; and there is no end of old ones that stay unused.
     idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
@@ -39,9 +46,24 @@
         phase: watch::Receiver<Phase>,
         streams: Rc<Streams>,
     ) -> Self {
-        let (held, open, idle, marks, askers) = Default::default();
+        let (held, open, accepted, idle, marks, askers) = Default::default();
+        let (shutdown, closes) = Default::default();
         let boot = RefCell::new(boot);
-        Shared { boot, bounds, tell, phase, streams, held, open, idle, marks, askers }
+        Shared {
+            boot,
+            bounds,
+            tell,
+            phase,
+            streams,
+            shutdown,
+            closes,
+            held,
+            open,
+            accepted,
+            idle,
+            marks,
+            askers,
+        }
     }
     /// As many connections are open as may be.
     pub fn full(&self) -> bool {
@@ -56,9 +78,11 @@
         let oldest = self.idle.borrow_mut().pop_first();
         oldest.inspect(|(_, leave)| leave.notify_one()).is_some()
     }
-    /// A connection has come.
-    pub(super) fn enter(&self) {
+    /// A connection has come; its number among all of them.
+    pub(super) fn enter(&self) -> u64 {
         self.open.set(self.open.get() + 1);
+        self.accepted.set(self.accepted.get() + 1);
+        self.accepted.get()
     }
     /// A connection has ended.
     pub(super) fn leave(&self) {
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -290,6 +290,8 @@
             crossings: self.crossings(),
             reloads: (0, 0),
             fleet: Vec::new(),
+            attempt_ends: self.router.attempt_ends(),
+            closes: Vec::new(),
         }
     }
 
@@ -343,6 +345,9 @@
                     self.router.handle(now, Input::ClientGone(request), &mut self.commands);
                 }
                 Command::Send { request, attempt, replica, until } => {
+                    if let Some(after) = self.router.last_outcome(request) {
+                        tracing::debug!(%request, attempt, replica = %replica.0, ?after, "retry");
+                    }
                     let addr = self.directory.addr(replica);
                     let payload = self.clients.get(&request).map(|c| c.payload.clone());
                     let (Some(addr), Some(payload)) = (addr, payload) else {
