Reproduce requests lost in a shutdown on real processes: two tests that fail

tests/shutdown.rs: a node process, real signals, servers that hang through the whole shutdown. The first is the incident: eight connections opened before SIGTERM send their first request once the log says closing, and all eight reach a server.

--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -8,67 +8,12 @@
 use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::Command;
 use std::time::{Duration, Instant};
-use support::{ask, read, Node};
-
-/// Only a hang runs into this.
-const PATIENCE: Duration = Duration::from_secs(20);
-
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !holds() {
-        assert!(start.elapsed() < PATIENCE, "{what} never came");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
-fn signal(node: &Node, signal: &str) {
-    let id = node.child.id().to_string();
-    assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
-}
-
-fn connect(node: &Node) -> TcpStream {
-    let stream = TcpStream::connect(node.addr).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    stream
-}
+use support::{ask, read, read_some, request_within, taken, until, Node};
 
+/// A request whose client waits for ten seconds.
 fn request(id: &str, more: &str, body: &str) -> String {
-    let length = body.len();
-    format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: chat\r\nReq-Deadline: 10\r\n{more}\
-         Content-Length: {length}\r\n\r\n{body}"
-    )
-}
-
-/// Reads what is there. A read with a time limit is not taken up again by the system after a signal.
-fn read_some(stream: &mut TcpStream, piece: &mut [u8]) -> std::io::Result<usize> {
-    loop {
-        match stream.read(piece) {
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            done => return done,
-        }
-    }
-}
-
-/// Takes the request of the next connection, and keeps the connection.
-fn taken(replica: &TcpListener) -> TcpStream {
-    replica.set_nonblocking(true).unwrap();
-    let mut stream = None;
-    until("a connection", || {
-        stream = replica.accept().ok();
-        stream.is_some()
-    });
-    let mut stream = stream.unwrap().0;
-    stream.set_nonblocking(false).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    let (mut text, mut byte) = (Vec::new(), [0]);
-    while !text.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).unwrap();
-        text.push(byte[0]);
-    }
-    stream
+    request_within(id, more, body, 10.0)
 }
 
 /// Guards against a client that ends another one's request: it sends an id that is in use and leaves before it has
@@ -78,16 +23,16 @@
     let replica = TcpListener::bind("127.0.0.1:0").unwrap();
     let node = Node::start("repeated", &[replica.local_addr().unwrap()], "", "safe");
     let id = "00000000000000aa";
-    let mut first = connect(&node);
+    let mut first = node.connect();
     first.write_all(request(id, "", "").as_bytes()).unwrap();
     let mut stream = taken(&replica);
-    signal(&node, "-STOP");
-    let mut second = connect(&node);
+    node.signal("-STOP");
+    let mut second = node.connect();
     second.write_all(request(id, "", "").as_bytes()).unwrap();
     drop(second);
-    signal(&node, "-CONT");
+    node.signal("-CONT");
     // Both have been seen once a third, which came later, is answered.
-    let mut third = connect(&node);
+    let mut third = node.connect();
     third.write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
     third.read_to_end(&mut Vec::new()).unwrap();
     stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata: 1\n\n").unwrap();
@@ -178,7 +123,7 @@
     let replica = TcpListener::bind("127.0.0.1:0").unwrap();
     let node = Node::start("unread", &[replica.local_addr().unwrap()], "", "safe");
     for begun in [false, true] {
-        let mut client = connect(&node);
+        let mut client = node.connect();
         let id = if begun { "00000000000000b2" } else { "00000000000000b1" };
         client.write_all(request(id, "Connection: close\r\n", "").as_bytes()).unwrap();
         let mut stream = taken(&replica);
@@ -206,7 +151,7 @@
 fn a_client_that_leaves_behind_many_bytes_is_missed() {
     let replica = TcpListener::bind("127.0.0.1:0").unwrap();
     let node = Node::start("behind", &[replica.local_addr().unwrap()], "", "safe");
-    let mut client = connect(&node);
+    let mut client = node.connect();
     // Its time is longer than the patience: it does not end by itself.
     let first = request("00000000000000c1", "", "").replace("Deadline: 10", "Deadline: 60");
     client.write_all(first.as_bytes()).unwrap();
@@ -226,11 +171,11 @@
     let standin = Standin::start(vec![Script { tokens: 3, ..Script::default() }]).unwrap();
     let node = Node::with_list("left", &[], "", "safe", &service);
     let mut watch = taken(&discovery);
-    let mut clients: Vec<TcpStream> = (0..40).map(|_| connect(&node)).collect();
+    let mut clients: Vec<TcpStream> = (0..40).map(|_| node.connect()).collect();
     for (n, client) in clients.iter_mut().enumerate() {
         client.write_all(request(&format!("{:016x}", 0xd00 + n), "", "").as_bytes()).unwrap();
     }
-    signal(&node, "-STOP");
+    node.signal("-STOP");
     for (n, client) in clients.into_iter().enumerate() {
         match n % 3 {
             0 => drop(client),
@@ -238,8 +183,8 @@
             _ => Socket::from(client).set_linger(Some(Duration::ZERO)).unwrap(),
         }
     }
-    signal(&node, "-CONT");
-    let mut later = connect(&node);
+    node.signal("-CONT");
+    let mut later = node.connect();
     later.write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
     later.read_to_end(&mut Vec::new()).unwrap();
     let list = entry("s-9", standin.addrs()[0], "up");
@@ -264,17 +209,17 @@
 fn signals_that_cross_leave_a_request_its_answer() {
     let replica = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut node = Node::start("signals", &[replica.local_addr().unwrap()], "", "unsafe");
-    let mut client = connect(&node);
+    let mut client = node.connect();
     client.write_all(request("00000000000000e1", "", "").as_bytes()).unwrap();
     let mut stream = taken(&replica);
-    signal(&node, "-STOP");
+    node.signal("-STOP");
     for sent in ["-HUP", "-TERM", "-HUP", "-TERM", "-INT"] {
-        signal(&node, sent);
+        node.signal(sent);
     }
     // One that comes with them is taken, too.
-    let mut late = connect(&node);
+    let mut late = node.connect();
     late.write_all(request("00000000000000e2", "", "").as_bytes()).unwrap();
-    signal(&node, "-CONT");
+    node.signal("-CONT");
     let mut second = taken(&replica);
     for stream in [&mut stream, &mut second] {
         stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata: 1\n\n").unwrap();
@@ -295,7 +240,7 @@
     let standin = Standin::start(vec![Script { tokens: 3, ..Script::default() }]).unwrap();
     let node = Node::with_list("silent", standin.addrs(), "", "safe", &service);
     let _watch = taken(&discovery);
-    let mut health = connect(&node);
+    let mut health = node.connect();
     health.write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
     assert!(rest(&mut health).starts_with("HTTP/1.1 200 "));
     let (id, mut client) = ask(&node, "silent", 3);
@@ -312,7 +257,7 @@
     let before = descriptors();
     let body = "x".repeat(200_000);
     for n in 0..120u64 {
-        let mut client = connect(&node);
+        let mut client = node.connect();
         let id = format!("{:016x}", 0xf000 + n);
         let text = match n % 4 {
             0 => request(&id, "", &"x".repeat(600_000)),
@@ -356,7 +301,7 @@
     let mut idle = Vec::new();
     let mut most = 0;
     for n in 0..4 * MAY_HOLD {
-        idle.push(connect(&node));
+        idle.push(node.connect());
         // Operators that say nothing hold theirs, too.
         if n % 4 == 0 {
             idle.push(TcpStream::connect(admin).unwrap());
@@ -397,7 +342,7 @@
 fn each_event_reaches_its_client_before_the_next_is_written() {
     let replica = TcpListener::bind("127.0.0.1:0").unwrap();
     let node = Node::start("events", &[replica.local_addr().unwrap()], "", "safe");
-    let mut client = connect(&node);
+    let mut client = node.connect();
     client.write_all(request("00000000000000f1", "Connection: close\r\n", "").as_bytes()).unwrap();
     let mut stream = taken(&replica);
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,157 @@
+//! Requests that come while a node shuts down: a node as a process of its own, real signals, and model servers that hang
+//! through the whole shutdown. What comes too late to be answered is refused and reaches no server.
+
+#[allow(dead_code)] // each file of tests uses a part
+mod support;
+
+use poppykeel_standin::{Script, Standin};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+use support::{read_some, request_within, taken, until, Node};
+
+/// Clients that wait far longer than a node may live after its order to stop.
+const LONG_DEADLINE: f64 = 60.0;
+/// How long a model server that hangs keeps a request, in milliseconds.
+const HANG_MS: u64 = 60_000;
+/// Longer than a node admits requests after its order to stop.
+const STANDSTILL: Duration = Duration::from_millis(1200);
+const STREAM_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn id(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+fn request(number: u64, body: &str) -> String {
+    request_within(&id(number), "", body, LONG_DEADLINE)
+}
+
+/// Reads to the end of a connection; a reset ends it, too.
+fn rest(client: &mut TcpStream) -> String {
+    let (mut bytes, mut piece) = (Vec::new(), [0; 4096]);
+    while let Ok(length @ 1..) = read_some(client, &mut piece) {
+        bytes.extend_from_slice(&piece[..length]);
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn hanging_server() -> Standin {
+    Standin::start(vec![Script { first_ms: HANG_MS, ..Script::default() }]).unwrap()
+}
+
+/// Ids of the requests that have reached a stand-in.
+fn reached(servers: &Standin) -> Vec<String> {
+    servers.records().into_iter().map(|record| record.id).collect()
+}
+
+fn assert_ends(mut node: Node) {
+    until("the end of the process", || node.child.try_wait().unwrap().is_some());
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+}
+
+/// The incident of 2 December: connections that are open and have sent nothing yet, and whose first request comes once the
+/// node has closed the others.
+#[test]
+fn a_first_request_that_comes_late_in_a_shutdown_is_refused_and_reaches_no_server() {
+    for semantics in ["safe", "unsafe"] {
+        let servers = hanging_server();
+        let node = Node::start(&format!("late-{semantics}"), servers.addrs(), "", semantics);
+        let mut clients: Vec<TcpStream> = (0..8).map(|_| node.connect()).collect();
+        node.signal("-TERM");
+        node.until_logged("closing");
+        for (number, client) in clients.iter_mut().enumerate() {
+            // The node may have closed it unread, so that its client would go elsewhere.
+            let _ = client.write_all(request(number as u64 + 1, "").as_bytes());
+        }
+        for client in &mut clients {
+            let text = rest(client);
+            assert!(text.is_empty() || text.starts_with("HTTP/1.1 503 "), "{semantics}: '{text}'");
+        }
+        assert_eq!(reached(&servers), Vec::<String>::new(), "{semantics}");
+        assert_ends(node);
+    }
+}
+
+/// The same weakness by other ways: sent ahead behind a stream that outlives the close, trickled across it, and sent to a
+/// node that stands still meanwhile.
+#[test]
+fn a_request_that_crosses_the_end_of_admission_is_refused_by_whatever_way_it_comes() {
+    behind_a_stream();
+    trickled();
+    to_a_node_that_stands_still();
+}
+
+fn behind_a_stream() {
+    let server = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Node::start("behind", &[server.local_addr().unwrap()], "", "safe");
+    let mut client = node.connect();
+    client.write_all(request(1, "").as_bytes()).unwrap();
+    let mut stream = taken(&server);
+    stream.write_all(STREAM_HEAD).unwrap();
+    stream.write_all(b"9\r\ndata: 1\n\n\r\n").unwrap();
+    let mut begun = String::new();
+    while !begun.contains("data: 1") {
+        let mut piece = [0; 4096];
+        let length = read_some(&mut client, &mut piece).unwrap();
+        assert!(length > 0, "the stream ended: '{begun}'");
+        begun.push_str(&String::from_utf8_lossy(&piece[..length]));
+    }
+    node.signal("-TERM");
+    node.until_logged("closing");
+    client.write_all(request(2, "").as_bytes()).unwrap();
+    stream.write_all(b"0\r\n\r\n").unwrap();
+    drop(stream);
+    let answered = std::thread::spawn(move || rest(&mut client));
+    // A request that went out would come on a new connection.
+    server.set_nonblocking(true).unwrap();
+    until("the second answer", || {
+        assert!(server.accept().is_err(), "it reached a server");
+        answered.is_finished()
+    });
+    let text = answered.join().unwrap();
+    assert!(text.starts_with("0\r\n\r\nHTTP/1.1 503 "), "'{text}'");
+    assert_ends(node);
+}
+
+fn trickled() {
+    let servers = hanging_server();
+    let node = Node::start("trickled", servers.addrs(), "", "safe");
+    let text = request(3, "the rest comes late");
+    let (head, tail) = text.split_at(text.len() - 4);
+    let mut client = node.connect();
+    client.write_all(head.as_bytes()).unwrap();
+    // It has been read by the time of the answer to another.
+    let mut other = node.connect();
+    other.write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
+    assert!(rest(&mut other).starts_with("HTTP/1.1 200 "));
+    node.signal("-TERM");
+    node.until_logged("closing");
+    client.write_all(tail.as_bytes()).unwrap();
+    let answer = rest(&mut client);
+    assert!(answer.starts_with("HTTP/1.1 503 "), "'{answer}'");
+    assert_eq!(reached(&servers), Vec::<String>::new());
+    assert_ends(node);
+}
+
+fn to_a_node_that_stands_still() {
+    let servers = hanging_server();
+    let node = Node::start("still", servers.addrs(), "", "safe");
+    let mut new = node.connect();
+    let mut kept = node.connect();
+    kept.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+    let length = kept.read(&mut [0; 4096]).unwrap();
+    assert!(length > 0);
+    node.signal("-TERM");
+    node.until_logged("draining");
+    node.signal("-STOP");
+    std::thread::sleep(STANDSTILL);
+    new.write_all(request(4, "").as_bytes()).unwrap();
+    kept.write_all(request(5, "").as_bytes()).unwrap();
+    node.signal("-CONT");
+    for client in [&mut new, &mut kept] {
+        let answer = rest(client);
+        assert!(answer.starts_with("HTTP/1.1 503 "), "'{answer}'");
+    }
+    assert_eq!(reached(&servers), Vec::<String>::new());
+    assert_ends(node);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,13 +1,13 @@
 //! A node with stand-in model servers, and clients that ask it: for tests and measurements alike.
 
 use poppykeel_standin::{Outcome, Seen};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A node as a process of its own.
 pub struct Node {
@@ -127,6 +127,80 @@
     }
 }
 
+/// Only a hang runs into this.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until something holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "{what} never came");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[allow(dead_code)] // each file of tests uses a part
+impl Node {
+    /// Sends the process a signal, as `kill` names it.
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// Waits until a line of the log has this text.
+    pub fn until_logged(&self, text: &str) {
+        until(text, || self.log.lock().unwrap().iter().any(|line| line.contains(text)));
+    }
+
+    /// A connection to it.
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+}
+
+#[allow(dead_code)] // each file of tests uses a part
+/// The text of a request whose client waits for so many seconds; `more` is further lines of its head.
+pub fn request_within(id: &str, more: &str, body: &str, deadline: f64) -> String {
+    let length = body.len();
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: chat\r\nReq-Deadline: {deadline}\r\n{more}\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+#[allow(dead_code)] // each file of tests uses a part
+/// Reads what is there. A read with a time limit is not taken up again by the system after a signal.
+pub fn read_some(stream: &mut TcpStream, piece: &mut [u8]) -> std::io::Result<usize> {
+    loop {
+        match stream.read(piece) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
+#[allow(dead_code)] // each file of tests uses a part
+/// Takes the request of the next connection, and keeps the connection.
+pub fn taken(replica: &TcpListener) -> TcpStream {
+    replica.set_nonblocking(true).unwrap();
+    let mut stream = None;
+    until("a connection", || {
+        stream = replica.accept().ok();
+        stream.is_some()
+    });
+    let mut stream = stream.unwrap().0;
+    stream.set_nonblocking(false).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let (mut text, mut byte) = (Vec::new(), [0]);
+    while !text.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).unwrap();
+        text.push(byte[0]);
+    }
+    stream
+}
+
 static IDS: AtomicU64 = AtomicU64::new(1);
 
 /// Sends one request and returns its connection.
