Admit no request late in a shutdown, by whatever way it comes, and answer all who wait

Cause (class: admission that does not ask for the node's remaining life). Only the closes of resting connections knew of the shutdown; a request was admitted by the fact that it could still be read. Three ways led past the close: the 0.25 s for a first request on a new connection (the incident: 0.7 to 0.95 s after SIGTERM), a request sent ahead behind a stream, and one whose bytes trickle for up to 2.5 s. A process that stands still came by all of them, since it learns of its phase and of requests in one turn. Ruled out: SIGTERM noticed late (2 ms by the logs) and retries (all ten first attempts began within 1 ms of the request).

Change: one check where a request is whole, by the clock and not the phase (transport/shutdown.rs, client.rs complete): 0.5 s after the order, so that a hold of 0.15 s stays below 0.7 s. What is not whole 0.25 s later is refused. The module answers whoever waits for a first token by 3.5 s after the order (brain/shutdown.rs), also on servers that hang. A close between requests reads nothing after its end any more.

All tests of the package passed once.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,6 +10,7 @@
 
 mod estimate;
 mod ledger;
+mod shutdown;
 use estimate::{BASE_TOKENS, EVEN};
 pub use ledger::Brain;
 
@@ -144,9 +145,8 @@
         let Some(class) = self.settings.classes.get(arrival.class) else {
             return out.push(Action::Refuse { request: id, retry_after: 0.0 });
         };
-        let time_left = if arrival.time_left.is_finite() { arrival.time_left.max(0.0) } else { 0.0 };
-        let aim = class.aim_of(&arrival);
-        let deadline = self.now + time_left;
+        let time_left = self.time_left(&arrival);
+        let (aim, deadline) = (class.aim_of(&arrival), self.now + time_left);
         let useful_until = if class.late_worth > 0.0 { deadline } else { deadline.min(self.now + aim) };
         let (worth, tenant) = (class.worth, arrival.tenant.min(self.allowances.len() - 1));
         // Departure: what a tenant sends beyond its share waits in the tier of what that is worth.
--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -22,6 +22,8 @@
     pub(super) learned: Learned,
     pub(super) pool: Pool,
     pub(super) ask_at: Option<Seconds>,
+    /// Every request that waits is answered by then: the router's own end.
+    pub(super) answer_by: Seconds,
     /// Second copies that may still be sent.
     pub(super) copies: Allowance,
     /// What the fleet allows.
@@ -48,6 +50,7 @@
             learned: Learned::new(RATE_HORIZON),
             pool: Pool::new(),
             ask_at: None,
+            answer_by: f64::INFINITY,
             copies: Allowance::default(),
             spending: Default::default(),
         })
--- a/src/program/config/mod.rs
+++ b/src/program/config/mod.rs
@@ -8,6 +8,7 @@
 use crate::transport::admin::MOST_CALLERS;
 use crate::transport::clients::MOST_LEAVING;
 use crate::transport::listener::MOST_TURNED_AWAY;
+use crate::transport::shutdown;
 use crate::transport::Bounds;
 use crate::wire::Boot;
 use serde_json::Value;
@@ -59,8 +60,6 @@
 const AGENT_PART: f64 = 0.5;
 /// No agent is called more often than a time for draining of so many seconds asks for.
 const LEAST_GRACE: f64 = 0.2;
-/// Clients keep coming for up to 0.4 s after the order to stop.
-const LINGER: Duration = Duration::from_millis(700);
 
 /// What a node is told.
 pub struct Config {
@@ -141,7 +140,7 @@
             watch_slack: if pushed { AGENT_SLACK.min(agent / 2) } else { WATCH_SLACK },
             retry_watch: if pushed { Duration::ZERO } else { RETRY_WATCH },
             retry_slack: if pushed { AGENT_SLACK.min(agent / 2) } else { RETRY_SLACK },
-            linger: LINGER,
+            linger: shutdown::ADMISSION,
         };
         Ok(Config {
             name: text_of("name")?,
--- a/src/program/serve.rs
+++ b/src/program/serve.rs
@@ -14,6 +14,7 @@
 use crate::transport::listener::accept;
 use crate::transport::messages::{Message, Phase};
 use crate::transport::pool::Pool;
+use crate::transport::shutdown::FINAL_ANSWERS;
 use crate::transport::srv::Lookups;
 use crate::transport::streams::Streams;
 use crate::transport::upstream::Upstream;
@@ -222,6 +223,7 @@
         fleet.leave();
     }
     let leave = async {
+        let _ = tell.send(Message::AnswerAllWithin(FINAL_ANSWERS)).await;
         if let Some(handover) = &handover {
             handover.leave().await;
         }
--- a/src/protocol/http.rs
+++ b/src/protocol/http.rs
@@ -92,6 +92,8 @@
     Version,
     /// It took too long to come.
     Slow,
+    /// The node ends before the message is whole.
+    Late,
     /// The connection ended inside it.
     Cut,
     /// The connection failed.
@@ -111,6 +113,7 @@
             Fault::LongHead => write!(f, "head longer than {MOST_HEAD} bytes or {MOST_HEADERS} fields"),
             Fault::Version => write!(f, "only HTTP/1.1 is spoken here"),
             Fault::Slow => write!(f, "the request took too long to come"),
+            Fault::Late => write!(f, "the node ends before the request is whole"),
             Fault::Cut => write!(f, "the connection ended inside a message"),
             Fault::Io(e) => write!(f, "{e}"),
         }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -221,6 +221,10 @@
     pub fn resettle(&mut self, settings: Settings) -> Result<(), SettingsError> {
         self.brain.resettle(settings)
     }
+    /// This node ends: whoever waits for a first token has a final answer by then.
+    pub fn answer_all_by(&mut self, time: Micros) {
+        self.brain.answer_all_by(seconds(time));
+    }
     /// Replicas listed that the module leaves alone now.
     pub fn avoided(&self) -> usize {
         self.brain.avoided()
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -94,11 +94,22 @@
         };
         log_fate!(self, requests = self.requests, why = reason.name(), "connection closes");
         self.shared.closes.add(reason);
-        if !reason.abrupt() {
+        self.close(reason).await;
+    }
+
+    /// Closes the connection so that its client can tell what has become of its last request.
+    async fn close(&mut self, reason: CloseReason) {
+        if reason.abrupt() {
+            return;
+        }
+        let socket = self.wire.get_mut();
+        let _ = socket.shutdown().await;
+        if reason.between_requests() {
+            // A request that crosses the close is left unread: the reset that follows tells its client so.
+            let _ = tokio::time::timeout(DISCARD_FOR, socket.ready(Interest::READABLE)).await;
+        } else {
             // A close over unread bytes resets the connection, and the end of the last answer goes with it. What
             // still comes is read and forgotten: nothing that is read from here on is served.
-            let socket = self.wire.get_mut();
-            let _ = socket.shutdown().await;
             let _ = tokio::time::timeout(DISCARD_FOR, discard(socket)).await;
         }
     }
@@ -114,6 +125,7 @@
             Fault::LongHead => 431,
             Fault::Slow => 408,
             Fault::Version => 505,
+            Fault::Late => return self.too_late().await,
             Fault::Cut | Fault::Io(_) => return Leave(CloseReason::ClientLeft),
         };
         self.turn_down(Reject { status, reason: fault.to_string() }, None).await
@@ -129,6 +141,13 @@
         }
     }
 
+    /// Refuses a request that comes too late in a shutdown to be answered. It has run nowhere, and other nodes can take it
+    /// at once.
+    async fn too_late(&mut self) -> Leave {
+        let reject = Reject { status: 503, reason: "this node shuts down".into() };
+        self.turn_down(reject, Some(0)).await
+    }
+
     /// An answer of the node's own, after which the connection may stay.
     async fn answer(&mut self, status: u16, text: &str, wait: Option<u64>, close: bool) -> Result<(), Leave> {
         self.send(Out::Raw(request::own_answer(status, text, wait, close))).await?;
@@ -181,6 +200,9 @@
             Err(reject) => return Err(self.turn_down(reject, None).await),
         };
         let id = arrival.id;
+        if !self.shared.shutdown.admits() {
+            return Err(self.too_late().await);
+        }
         log_fate!(self, request = %id, nth = self.requests, deadline_s = arrival.time_left, "request taken");
         let payload = Payload { head: request::upstream_head(&head, body.len(), None), body: body.clone() };
         let answer = match self.ask(arrival.clone(), payload).await {
--- a/src/transport/client/requests.rs
+++ b/src/transport/client/requests.rs
@@ -6,14 +6,12 @@
 use crate::transport::clients::Hold;
 use crate::transport::closes::CloseReason;
 use crate::transport::messages::Phase;
+use crate::transport::shutdown::LAST_READ;
 use crate::transport::unread;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use std::time::Duration;
 use tokio::time::Instant;
 
-/// A connection that comes while idle ones are closed has so long to send its request.
-const FIRST_REQUEST: Duration = Duration::from_millis(250);
 /// When a client may come again that found no room for its body.
 const AGAIN_US: u64 = 500_000;
 
@@ -47,7 +45,7 @@
             drop(closed);
             if !known {
                 // It has only just come: closed unheard, its request would have to be sent anew.
-                tokio::time::sleep(FIRST_REQUEST).await;
+                tokio::time::sleep(LAST_READ).await;
             }
             reason
         };
@@ -82,10 +80,21 @@
             }
             self.until = Instant::now() + self.shared.bounds.read;
         }
-        match tokio::time::timeout_at(self.until, self.wire.next()).await {
+        match self.next_part().await {
             Ok(next) => next.ok_or(CloseReason::ClientLeft),
             Err(_) if !self.begun() => Err(CloseReason::NeverAsked),
-            Err(_) => Ok(Err(Fault::Slow)),
+            Err(overdue) => Ok(Err(overdue)),
+        }
+    }
+
+    /// The next part of a request on its way, nothing where the client has left, or why it is no longer waited for.
+    async fn next_part(&mut self) -> Result<Option<Result<Part, Fault>>, Fault> {
+        let shared = self.shared.clone();
+        tokio::select! {
+            biased;
+            part = self.wire.next() => Ok(part),
+            () = tokio::time::sleep_until(self.until) => Err(Fault::Slow),
+            () = shared.reading_over() => Err(Fault::Late),
         }
     }
 
@@ -112,11 +121,10 @@
         }
         let mut body = Vec::with_capacity(expected as usize);
         loop {
-            let part = match tokio::time::timeout_at(self.until, self.wire.next()).await {
+            let part = match self.next_part().await {
                 Ok(Some(Ok(part))) => part,
-                Ok(Some(Err(fault))) => return Err(self.fault(fault).await),
                 Ok(None) => return Err(Leave(CloseReason::ClientLeft)),
-                Err(_) => return Err(self.fault(Fault::Slow).await),
+                Ok(Some(Err(fault))) | Err(fault) => return Err(self.fault(fault).await),
             };
             match part {
                 Part::Body(bytes) if body.len() + bytes.len() > MOST_BODY => {
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -78,6 +78,15 @@
         let oldest = self.idle.borrow_mut().pop_first();
         oldest.inspect(|(_, leave)| leave.notify_one()).is_some()
     }
+    /// Comes once no request is read any more, since the node shuts down.
+    pub(super) async fn reading_over(&self) {
+        let mut phase = self.phase.clone();
+        let closing = phase.wait_for(|phase| *phase == Phase::Closing).await.is_ok();
+        match self.shutdown.reading_ends().filter(|_| closing) {
+            Some(at) => tokio::time::sleep_until(at).await,
+            None => std::future::pending().await,
+        }
+    }
     /// A connection has come; its number among all of them.
     pub(super) fn enter(&self) -> u64 {
         self.open.set(self.open.get() + 1);
--- a/src/transport/closes.rs
+++ b/src/transport/closes.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// It ends between requests, so that nothing is owed to the client.
+    pub fn between_requests(self) -> bool {
+        use CloseReason::{Evacuated, Idle, NeverAsked, Shutdown};
+        matches!(self, Idle | NeverAsked | Evacuated | Shutdown)
+    }
+
     /// Nobody waits for the end of what was written, so the connection can be dropped at once.
     pub fn abrupt(self) -> bool {
         matches!(self, CloseReason::ClientLeft | CloseReason::ClientStalled | CloseReason::Evicted)
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -192,6 +192,9 @@
                 let _ = done.send(());
                 return;
             }
+            Message::AnswerAllWithin(span) => {
+                return self.router.answer_all_by(now.saturating_add(span.as_micros() as Micros));
+            }
             Message::SumUp(done) => {
                 self.sum_up();
                 let _ = done.send(());
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -9,6 +9,7 @@
 use poppykeel_membership::Told;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
 /// A client's request as it goes to replicas.
@@ -125,6 +126,8 @@
     Figures(oneshot::Sender<Figures>),
     /// New settings for the core; answered once they hold.
     Settings(Rc<Boot>, oneshot::Sender<()>),
+    /// The node ends: whoever still waits for a first token after this time is given a final answer.
+    AnswerAllWithin(Duration),
     /// The log is to say what has happened so far; answered once it has.
     SumUp(oneshot::Sender<()>),
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -61,7 +61,7 @@
     pub retry_watch: Duration,
     /// ... and the answer to a call after any failed one may take so much longer.
     pub retry_slack: Duration,
-    /// New connections are accepted for so long after the order to stop.
+    /// New connections are accepted, and requests admitted, for so long after the order to stop.
     pub linger: Duration,
 }
 
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -159,6 +159,11 @@
                 let addrs: Vec<_> = named.map(|l| l.local_addr().unwrap()).collect();
                 self.dns.set(Script::service("_llm._tcp.example.test", 0, &addrs));
             }
+            "is not called" => {
+                let listener = &self.listeners[party];
+                listener.set_nonblocking(true).unwrap();
+                assert!(listener.accept().is_err(), "{party} is called");
+            }
             "exits with 0" => assert!(self.child.wait().unwrap().success()),
             _ => panic!("no step '{step}'"),
         }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -125,3 +125,25 @@
     (0..5).for_each(|n| crossings.add(n * 60_000_000, 0, 0));
     assert!(crossings.by_minute().map(|r| r.0).collect::<std::collections::BTreeSet<_>>().len() <= 60);
 }
+
+/// A node that ends: whoever waits is answered by the time given, later arrivals too, and a stream goes on.
+#[test]
+fn all_who_wait_are_answered_by_the_time_at_which_the_node_ends() {
+    let (streams, waits, late) = (RequestId(31), RequestId(32), RequestId(33));
+    let mut router = router();
+    for id in [streams, waits] {
+        arrive(&mut router, id, 60.0);
+    }
+    tell(&mut router, 2_000, Input::First { request: streams, attempt: 0 });
+    router.answer_all_by(3_500_000);
+    arrive(&mut router, late, 60.0);
+    let before = run_to(&mut router, 3_400_000);
+    assert!(!before.iter().any(|c| matches!(c, Command::Refuse { .. } | Command::Fail { .. })), "{before:?}");
+    let out = run_to(&mut router, 3_550_000);
+    for id in [waits, late] {
+        let answers = out.iter().filter(|c| matches!(c, Command::Refuse { request, .. } if *request == id));
+        assert_eq!(answers.count(), 1, "{out:?}");
+        assert!(out.contains(&Command::Abandon { request: id, attempt: 0 }), "{out:?}");
+    }
+    assert!(!out.contains(&Command::Abandon { request: streams, attempt: 0 }), "{out:?}");
+}
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -155,3 +155,38 @@
     assert_eq!(reached(&servers), Vec::<String>::new());
     assert_ends(node);
 }
+
+/// Guards against clients that are still waiting when the process may be killed: servers hang through the whole shutdown,
+/// or there is none, and the clients would wait for a minute.
+#[test]
+fn a_request_that_waits_for_a_hanging_server_has_its_final_answer_before_the_node_may_be_killed() {
+    for (semantics, status) in [("safe", "503"), ("unsafe", "502")] {
+        let servers = hanging_server();
+        let node = Node::start(&format!("hangs-{semantics}"), servers.addrs(), "", semantics);
+        let mut sent = node.connect();
+        sent.write_all(request(6, "").as_bytes()).unwrap();
+        until("the server has it", || reached(&servers) == [id(6)]);
+        node.signal("-TERM");
+        node.until_logged("draining");
+        let mut late = node.connect();
+        late.write_all(request(7, "").as_bytes()).unwrap();
+        for client in [&mut sent, &mut late] {
+            let text = rest(client);
+            assert!(text.starts_with(&format!("HTTP/1.1 {status} ")), "{semantics}: '{text}'");
+        }
+        assert_ends(node);
+    }
+}
+
+#[test]
+fn a_request_that_no_server_can_take_is_refused_before_the_node_may_be_killed() {
+    // Nobody listens there: each attempt fails before it has begun.
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let node = Node::start("none", &[closed], "", "unsafe");
+    let mut waits = node.connect();
+    waits.write_all(request(8, "").as_bytes()).unwrap();
+    node.signal("-TERM");
+    let text = rest(&mut waits);
+    assert!(text.starts_with("HTTP/1.1 503 "), "'{text}'");
+    assert_ends(node);
+}
