Never count a second process under a keeper's name beside the first

Cause: claims counted grants by a keeper's place. A second process of that name with an empty disk asked the others, waited one lease and granted, and the first one went on: each made a majority with another keeper.

Change: starts of a keeper have an order; a starting keeper goes above the newest that the others know before it counts; a grant says its own start and the newest starts known of the others, and a claim leaves out a grant that another one in its round supersedes, and tells that process, which goes above the newer one. Written down before it is told (Record::Start).

--- a/crates/fleet/src/lease/claim.rs
+++ b/crates/fleet/src/lease/claim.rs
@@ -3,7 +3,7 @@
 use super::hold;
 use super::messages::{Holder, ToKeeper, ToNode};
 use crate::Micros;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[cfg(test)]
 mod tests;
@@ -23,11 +23,19 @@
     pub pause: Micros,
 }
 
+/// The process of a keeper that granted.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Granter {
+    start: u64,
+    /// The newest start that it knows of each other keeper.
+    starts: Vec<(usize, u64)>,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Round {
     number: u64,
     asked: Micros,
-    granted: BTreeSet<usize>,
+    granted: BTreeMap<usize, Granter>,
     refused: BTreeSet<usize>,
 }
 
@@ -45,6 +53,17 @@
     },
 }
 
+impl Round {
+    /// Keepers whose grant does not count, since another one that granted knows a newer start of theirs, with that start:
+    /// two processes of one name must not both be counted, one for each of two holders.
+    fn superseded(&self) -> BTreeMap<usize, u64> {
+        let known = self.granted.values().flat_map(|granter| &granter.starts);
+        let newer = known
+            .filter(|(keeper, start)| self.granted.get(keeper).is_some_and(|granter| granter.start < *start));
+        newer.copied().collect()
+    }
+}
+
 /// A claim. It holds the task while [`Claim::may_act`] says so, and whoever acts asks that before every act.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Claim {
@@ -172,9 +191,15 @@
             State::Asking(round) | State::Held { round: Some(round), .. } if round.number == number => round,
             _ => return Vec::new(),
         };
-        let side = if granted { &mut round.granted } else { &mut round.refused };
-        side.insert(keeper);
-        if round.granted.len() >= majority {
+        if let (ToNode::Granted { start, starts, .. }, true) = (answer, granted) {
+            let newer = round.granted.get(&keeper).is_none_or(|known| known.start <= *start);
+            let granter = Granter { start: *start, starts: starts.clone() };
+            newer.then(|| round.granted.insert(keeper, granter));
+        } else {
+            round.refused.insert(keeper);
+        }
+        let superseded = round.superseded();
+        if round.granted.len() - superseded.len() >= majority {
             // Counted from the question: the keepers' time began later than that.
             let asked = round.asked;
             let until = asked.saturating_add(hold(self.terms.length, self.terms.drift));
@@ -192,7 +217,7 @@
             };
             return self.give_up(now, jitter, left);
         }
-        Vec::new()
+        superseded.into_iter().map(|(keeper, start)| ToKeeper::Superseded { keeper, start }).collect()
     }
 
     /// Acts no more and gives the task back.
@@ -230,7 +255,7 @@
 
     fn round(&mut self, now: Micros) -> Round {
         self.rounds += 1;
-        Round { number: self.rounds, asked: now, granted: BTreeSet::new(), refused: BTreeSet::new() }
+        Round { number: self.rounds, asked: now, granted: BTreeMap::new(), refused: BTreeSet::new() }
     }
 
     fn question(&self, round: u64) -> ToKeeper {
--- a/crates/fleet/src/lease/claim/tests.rs
+++ b/crates/fleet/src/lease/claim/tests.rs
@@ -224,7 +224,7 @@
             let seen: Vec<(bool, bool)> = rounds
                 .iter()
                 .flatten()
-                .map(|round| (round.granted.contains(&k), round.refused.contains(&k)))
+                .map(|round| (round.granted.contains_key(&k), round.refused.contains(&k)))
                 .collect();
             let mut hasher = std::hash::DefaultHasher::new();
             (&world.keepers[k], &world.disks[k], lane, seen).hash(&mut hasher);
@@ -245,7 +245,8 @@
             .collect();
         for claim in &mut world.claims {
             if let Own::Asking(round) | Own::Held { round: Some(round), .. } = &mut claim.state {
-                round.granted = round.granted.iter().map(|k| place(*k)).collect();
+                round.granted =
+                    round.granted.iter().map(|(k, granter)| (place(*k), granter.clone())).collect();
                 round.refused = round.refused.iter().map(|k| place(*k)).collect();
             }
         }
--- a/crates/fleet/src/lease/keeper.rs
+++ b/crates/fleet/src/lease/keeper.rs
@@ -4,6 +4,15 @@
 use crate::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A start is a generation above a random part of so many bits, so that starts have an order: the newest is the highest.
+const RANDOM_BITS: u32 = 40;
+
+/// A start above another one, with the random part of a third.
+fn above(start: u64, random: u64) -> u64 {
+    let generation = (start >> RANDOM_BITS).saturating_add(1).min(u64::MAX >> RANDOM_BITS);
+    generation << RANDOM_BITS | random & ((1 << RANDOM_BITS) - 1)
+}
+
 /// Tasks that a keeper remembers. Tasks are few and named by the program, so this bounds what a bug can do.
 pub const MOST_TASKS: usize = 1024;
 
@@ -70,6 +79,11 @@
     pub memory: Option<(usize, ToKeeper)>,
 }
 
+fn raise(starts: &mut BTreeMap<usize, u64>, keeper: usize, start: u64) {
+    let known = starts.entry(keeper).or_insert(start);
+    *known = start.max(*known);
+}
+
 /// A keeper.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Keeper {
@@ -79,6 +93,10 @@
     blank: bool,
     /// Where all keepers began with no memory: the others then, by place and start.
     founders: BTreeSet<(usize, u64)>,
+    /// Another keeper found all blank, this start among them.
+    founded: bool,
+    /// The newest start known of each other keeper, by place. A second process under a keeper's name is told by it.
+    starts: BTreeMap<usize, u64>,
     table: BTreeMap<String, Grant>,
     standing: Standing,
 }
@@ -88,14 +106,14 @@
     pub fn new(rules: Rules, start: u64, kept: &[Record], now: Micros) -> Keeper {
         let whole = kept.iter().find_map(|record| match record {
             Record::Whole(founders) => Some(founders),
-            Record::Entry(_) => None,
+            Record::Entry(_) | Record::Start(..) => None,
         });
         let blank = whole.is_none();
         let founders = whole.into_iter().flatten().copied().collect();
         let mut table: BTreeMap<String, Grant> = BTreeMap::new();
         let entries = kept.iter().filter_map(|record| match record {
             Record::Entry(entry) => Some(entry.clone()),
-            Record::Whole(_) => None,
+            Record::Whole(_) | Record::Start(..) => None,
         });
         for Entry { task, epoch, holder, length } in entries {
             // How much of it has run out nobody knows: all of it may be ahead.
@@ -109,7 +127,15 @@
             true => Standing::Granting,
             false => Standing::Recalling { heard: BTreeSet::new(), blank: BTreeMap::new() },
         };
-        Keeper { rules, start, blank, founders, table, standing }
+        let known = kept.iter().filter_map(|record| match record {
+            Record::Start(keeper, start) => Some((*keeper, *start)),
+            Record::Entry(_) | Record::Whole(_) => None,
+        });
+        let mut starts = BTreeMap::new();
+        known.for_each(|(keeper, start)| raise(&mut starts, keeper, start));
+        let own = starts.remove(&rules.me).filter(|own| *own >= start);
+        let start = own.map_or(start, |own| above(own, start));
+        Keeper { rules, start, blank, founders, founded: false, table, starts, standing }
     }
 
     /// Another list of keepers holds from now on; this one goes on with what it knows.
@@ -120,6 +146,8 @@
             (*heard, *blank) = Default::default();
         }
         self.founders.clear();
+        self.starts.clear();
+        self.founded = false;
     }
 
     /// How far it has come.
@@ -148,7 +176,9 @@
             if first {
                 self.founders = blank.iter().map(|(keeper, start)| (*keeper, *start)).collect();
             }
-            if heard.len() >= majority.min(others) || first {
+            // All that answered know this start by now, and no newer one.
+            let founded = self.founded && self.blank && heard.len() + blank.len() >= majority.min(others);
+            if heard.len() >= majority.min(others) || first || founded {
                 whole = self.counts_from_here(now);
             }
         }
@@ -203,16 +233,40 @@
                 Done::default()
             }
             ToKeeper::Recall { keeper, start } => {
+                let write: Vec<Record> = self.learn_start(keeper, start).into_iter().collect();
+                let newest = self.starts.get(&keeper).copied().unwrap_or(start);
+                let starts = self.known_starts();
                 let epochs = self.table.iter().map(|(task, g)| (task.clone(), g.epoch)).collect();
                 let together = self.founders.contains(&(keeper, start));
                 let (me, own, blank) = (self.rules.me, self.start, self.blank);
-                let memory = ToKeeper::Memory { keeper: me, start, own, blank, together, epochs };
-                Done { memory: Some((keeper, memory)), ..Done::default() }
+                let memory =
+                    ToKeeper::Memory { keeper: me, start, own, blank, together, epochs, newest, starts };
+                Done { write, memory: Some((keeper, memory)), ..Done::default() }
             }
-            ToKeeper::Memory { keeper, start, own, blank, together, epochs } => {
+            ToKeeper::Superseded { keeper, start } => {
+                if keeper == self.rules.me && start > self.start && self.standing == Standing::Granting {
+                    self.begin_anew(start);
+                }
+                Done::default()
+            }
+            ToKeeper::Memory { keeper, start, own, blank, together, epochs, newest, starts } => {
                 if start != self.start || keeper == self.rules.me || keeper >= self.rules.keepers {
                     return Done::default();
                 }
+                if !matches!(self.standing, Standing::Recalling { .. }) {
+                    return Done::default();
+                }
+                if newest > self.start {
+                    // Another process had this name, or has it: this one is to be the newest before it counts.
+                    self.begin_anew(newest);
+                    return Done::default();
+                }
+                let me = self.rules.me;
+                let told = starts.into_iter().filter(|(of, _)| *of != me).chain([(keeper, own)]);
+                let mut write: Vec<Record> = Vec::new();
+                for (of, start) in told.filter(|(of, _)| *of < self.rules.keepers).collect::<Vec<_>>() {
+                    write.extend(self.learn_start(of, start));
+                }
                 let Standing::Recalling { heard, blank: blanks } = &mut self.standing else {
                     return Done::default();
                 };
@@ -223,15 +277,36 @@
                     blanks.remove(&keeper);
                 }
                 let learned = epochs.into_iter().filter_map(|(task, epoch)| self.learn(task, epoch));
-                let mut write: Vec<Record> = learned.map(Record::Entry).collect();
+                write.extend(learned.map(Record::Entry).collect::<Vec<_>>());
                 // Another keeper found all blank, this very start among them, before this one did.
-                let founded = (together && self.blank).then(|| self.counts_from_here(now)).flatten();
-                write.extend(founded.or_else(|| self.advance(now)));
+                self.founded |= together;
+                write.extend(self.advance(now));
+                if !matches!(self.standing, Standing::Recalling { .. }) {
+                    write.push(Record::Start(self.rules.me, self.start));
+                }
                 Done { write, ..Done::default() }
             }
         }
     }
 
+    /// Goes on as a start above this one, and counts again once enough of the others know it.
+    fn begin_anew(&mut self, newest: u64) {
+        self.start = above(newest, self.start);
+        self.founded = false;
+        self.standing = Standing::Recalling { heard: BTreeSet::new(), blank: BTreeMap::new() };
+    }
+
+    /// Takes a start of another keeper in, if it is the newest known of that one.
+    fn learn_start(&mut self, keeper: usize, start: u64) -> Option<Record> {
+        let newer = self.starts.get(&keeper).is_none_or(|known| *known < start);
+        newer.then(|| self.starts.insert(keeper, start));
+        newer.then_some(Record::Start(keeper, start))
+    }
+
+    fn known_starts(&self) -> Vec<(usize, u64)> {
+        self.starts.iter().map(|(keeper, start)| (*keeper, *start)).collect()
+    }
+
     fn learn(&mut self, task: String, epoch: u64) -> Option<Entry> {
         let known = self.table.get(&task).map_or(0, |g| g.epoch);
         if epoch <= known || (known == 0 && self.table.len() >= MOST_TASKS) {
@@ -278,7 +353,9 @@
         let asked = who.incarnation;
         self.table.insert(task.clone(), Grant { epoch, holder: Some(who), length, until });
         let write = if lasting { Vec::new() } else { vec![Record::Entry(entry)] };
-        Done { write, answer: Some(ToNode::Granted { task, who: asked, round, epoch }), memory: None }
+        let (start, starts) = (self.start, self.known_starts());
+        let granted = ToNode::Granted { task, who: asked, round, epoch, start, starts };
+        Done { write, answer: Some(granted), memory: None }
     }
 
     /// The table.
--- a/crates/fleet/src/lease/messages.rs
+++ b/crates/fleet/src/lease/messages.rs
@@ -58,6 +58,17 @@
         together: bool,
         /// Each task with the highest epoch known for it.
         epochs: Vec<(String, u64)>,
+        /// The newest start known of the one who asked. Where that is another one, this answer does not count.
+        newest: u64,
+        /// The newest start known of each keeper but the one who answers, by place.
+        starts: Vec<(usize, u64)>,
+    },
+    /// A newer start of a keeper is known than the one that granted: that one's grants count no more.
+    Superseded {
+        /// Which keeper, by its place.
+        keeper: usize,
+        /// Its newest start known.
+        start: u64,
     },
 }
 
@@ -83,6 +94,10 @@
         round: u64,
         /// As asked.
         epoch: u64,
+        /// The start of the keeper's process that grants.
+        start: u64,
+        /// The newest start that it knows of each other keeper, by place.
+        starts: Vec<(usize, u64)>,
     },
     /// Not granted.
     Refused {
@@ -122,4 +137,6 @@
     /// From here on this keeper's memory counts: it has heard from enough of the others, or all began with none, and
     /// then these were the others by place and start.
     Whole(Vec<(usize, u64)>),
+    /// The newest start known of a keeper, by place: its own, too.
+    Start(usize, u64),
 }
--- a/src/transport/fleet/disk.rs
+++ b/src/transport/fleet/disk.rs
@@ -28,6 +28,7 @@
 struct Newest {
     entries: BTreeMap<String, Record>,
     whole: Option<Record>,
+    starts: BTreeMap<usize, Record>,
 }
 
 impl Newest {
@@ -35,10 +36,11 @@
         match record {
             Record::Entry(entry) => drop(self.entries.insert(entry.task.clone(), record.clone())),
             Record::Whole(_) => self.whole = Some(record.clone()),
+            Record::Start(keeper, _) => drop(self.starts.insert(*keeper, record.clone())),
         }
     }
     fn all(&self) -> impl Iterator<Item = Record> + '_ {
-        self.entries.values().cloned().chain(self.whole.clone())
+        self.entries.values().chain(self.starts.values()).cloned().chain(self.whole.clone())
     }
 }
 
