--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -16,6 +16,7 @@
 static CALLS: AtomicU64 = AtomicU64::new(0);
 
 type Accept4 = unsafe extern "C" fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int;
+type Connect = unsafe extern "C" fn(c_int, *const sockaddr, socklen_t) -> c_int;
 type Recv = unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t;
 type Send = unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t;
 
@@ -113,3 +114,20 @@
         None => real(fd, buffer, length, flags),
     }
 }
+
+/// Connects a socket, or fails as planned before anything is sent.
+///
+/// # Safety
+/// As connect(2).
+#[no_mangle]
+pub unsafe extern "C" fn connect(fd: c_int, addr: *const sockaddr, length: socklen_t) -> c_int {
+    static REAL: OnceLock<Connect> = OnceLock::new();
+    let real = next(&REAL, c"connect");
+    match fault(Call::Connect).and_then(Fault::errno) {
+        Some(errno) => {
+            fail(errno);
+            -1
+        }
+        None => real(fd, addr, length),
+    }
+}
--- a/crates/fault-shim/src/plan.rs
+++ b/crates/fault-shim/src/plan.rs
@@ -34,6 +34,8 @@
     Read,
     /// Bytes are written to a socket.
     Write,
+    /// A socket is connected.
+    Connect,
 }
 
 /// What becomes of a call.
@@ -52,6 +54,14 @@
     Enobufs,
     /// The system has no memory left.
     Enomem,
+    /// No local address or port is left.
+    Eaddrnotavail,
+    /// The network can't be reached.
+    Enetunreach,
+    /// The host can't be reached.
+    Ehostunreach,
+    /// Nobody answered.
+    Etimedout,
     /// It moves so many bytes at most.
     #[serde(rename = "short")]
     Short(usize),
@@ -67,6 +77,10 @@
             Fault::Enfile => Some(libc::ENFILE),
             Fault::Enobufs => Some(libc::ENOBUFS),
             Fault::Enomem => Some(libc::ENOMEM),
+            Fault::Eaddrnotavail => Some(libc::EADDRNOTAVAIL),
+            Fault::Enetunreach => Some(libc::ENETUNREACH),
+            Fault::Ehostunreach => Some(libc::EHOSTUNREACH),
+            Fault::Etimedout => Some(libc::ETIMEDOUT),
             Fault::Short(_) => None,
         }
     }
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -3,6 +3,7 @@
 use super::Wire;
 use crate::interface::ReplicaId;
 use crate::protocol::http::{Http, Side};
+use rustix::io::Errno;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -109,7 +110,10 @@
             Ok(Ok(socket)) => {
                 Ok(Conn { wire: Framed::new(socket.into(), Http::new(Side::Client)), _place: place })
             }
-            Ok(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)) => Err(NoConn::Exhausted),
+            Ok(Err(e)) if is_local(&e) => {
+                tracing::debug!(why = %e, to = %peer.1, "no connection for a reason of this machine");
+                Err(NoConn::Exhausted)
+            }
             _ => Err(NoConn::Failed),
         }
     }
@@ -161,6 +165,23 @@
     }
 }
 
+/// Whether a connection failed for want of something on this machine, or by a signal: nothing may be held against the replica.
+fn is_local(error: &std::io::Error) -> bool {
+    let code = error.raw_os_error().map(Errno::from_raw_os_error);
+    matches!(
+        code,
+        Some(
+            Errno::MFILE
+                | Errno::NFILE
+                | Errno::NOBUFS
+                | Errno::NOMEM
+                | Errno::ADDRNOTAVAIL
+                | Errno::AGAIN
+                | Errno::INTR
+        )
+    )
+}
+
 /// A connection that has anything to say between two answers has ended or is out of step. The kernel is asked:
 /// the runtime may not have seen yet that there are bytes, and a second answer must not meet the next request.
 fn quiet(wire: &Wire) -> bool {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -86,3 +86,12 @@
     drop(node);
     let _ = std::fs::remove_file(file);
 }
+
+/// Calls that fail before a byte was sent: the request has run nowhere and goes to a server at once, whatever its class.
+#[test]
+fn connections_that_fail_before_a_byte_is_sent_cost_no_answer() {
+    const ERRORS: [&str; 7] =
+        ["EINTR", "ENOBUFS", "ENOMEM", "EADDRNOTAVAIL", "ENETUNREACH", "EHOSTUNREACH", "ETIMEDOUT"];
+    let rule = |fault| format!("[[rule]]\ncall = \"connect\"\none_in = 40\nfault = \"{fault}\"\n");
+    assert_whole_under("connect", &format!("seed = 4\n{}", ERRORS.map(rule).concat()));
+}
