--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -42,7 +42,7 @@
     /// One whose process may hold so many descriptors.
     pub fn with_sockets(name: &str, servers: &[SocketAddr], discovery: &str, sockets: usize) -> Node {
         let change = |config: String| config.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
-        Node::changed("n0", name, servers, ["", "safe", discovery], None, change)
+        Node::spawned("n0", name, servers, ["", "safe", discovery], None, change, Vec::new())
     }
 
     #[allow(dead_code)] // each file of tests uses a part
@@ -75,21 +75,10 @@
         texts: [&str; 3],
         listen: Option<SocketAddr>,
     ) -> Node {
-        Node::changed(me, name, servers, texts, listen, |config| config)
-    }
-
-    /// The same with the configuration changed before the start.
-    fn changed(
-        me: &str,
-        name: &str,
-        servers: &[SocketAddr],
-        texts: [&str; 3],
-        listen: Option<SocketAddr>,
-        change: impl FnOnce(String) -> String,
-    ) -> Node {
-        Node::spawned(me, name, servers, texts, listen, change, Vec::new())
+        Node::spawned(me, name, servers, texts, listen, |config| config, Vec::new())
     }
 
+    /// The same with the configuration changed before the start, and with the process environment.
     fn spawned(
         me: &str,
         name: &str,
