Log which endpoint list a process begins with and when it is confirmed

The evidence of the incident could not tell which list a node routed by, nor since when discovery had not answered it. The restored list is logged with its version, a failed poll with the version that the node has, and the first answer after either with the time between.

--- a/src/program/serve/node.rs
+++ b/src/program/serve/node.rs
@@ -19,7 +19,7 @@
 use crate::transport::endpoints::discovery::EndpointWatcher;
 use crate::transport::endpoints::srv::SrvWatcher;
 use crate::transport::handover::LearnedStateHandover;
-use crate::transport::messages::DispatcherMessage;
+use crate::transport::messages::{DispatcherMessage, ENDPOINT_LIST_SOURCE};
 use crate::transport::node_phase::NodePhase;
 use crate::transport::replica::attempts::ReplicaClient;
 use crate::transport::replica::pool::ConnectionPool;
@@ -184,6 +184,11 @@
             return None;
         }
         let known = self.config.known_endpoints.clone()?;
+        tracing::info!(
+            source = ENDPOINT_LIST_SOURCE,
+            version = known.version(),
+            "endpoint list restored from the configuration, not confirmed yet"
+        );
         Some(known.into_source_update())
     }
 
--- a/src/transport/endpoints/discovery.rs
+++ b/src/transport/endpoints/discovery.rs
@@ -12,7 +12,7 @@
 use super::poll::{self, PollError, PollRequest};
 use super::watcher_state::{PollMode, WatcherEvent, WatcherState};
 use crate::protocol::discovery::EndpointListResponse;
-use crate::routing::seconds;
+use crate::routing::{seconds, MonotonicMicros};
 use crate::transport::clock::Clock;
 use crate::transport::messages::{DispatcherMessage, ENDPOINT_LIST_SOURCE};
 use crate::transport::{HttpConnection, TransportLimits};
@@ -33,6 +33,8 @@
 /// How often the coordination's budget is looked at while it has no poll left for this node.
 const BUDGET_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+const MICROS_PER_MILLI: u64 = 1_000;
+
 /// What one poll takes out of the budget.
 const UNITS_PER_POLL: f64 = 1.0;
 
@@ -61,6 +63,8 @@
     known_version: Cell<u64>,
     /// Why the last poll failed, if it did.
     last_error: RefCell<Option<String>>,
+    /// Since when no poll has been answered: the start, or the first failure after an answer.
+    unconfirmed_since: Cell<Option<MonotonicMicros>>,
     poll_budget: RefCell<BudgetLedger>,
     clock: Clock,
 }
@@ -94,6 +98,7 @@
             is_enabled: Cell::new(true),
             known_version: Cell::default(),
             last_error: RefCell::default(),
+            unconfirmed_since: Cell::new(Some(clock.now())),
             poll_budget: RefCell::default(),
             clock,
         };
@@ -335,6 +340,15 @@
             version = response.version(),
             "endpoint list answered"
         );
+        if let Some(since) = self.shared.unconfirmed_since.take() {
+            let unconfirmed_ms = (self.shared.clock.now() - since) / MICROS_PER_MILLI;
+            tracing::info!(
+                source = ENDPOINT_LIST_SOURCE,
+                version = response.version(),
+                unconfirmed_ms,
+                "endpoint list confirmed"
+            );
+        }
         // The version is set before the next poll goes out, however late the dispatcher takes the list.
         self.set_known_version(response.version());
         self.send_update(response.into_source_update()).await
@@ -358,7 +372,17 @@
         let reason = error.to_string();
         let is_new = self.shared.last_error.borrow().as_ref() != Some(&reason);
         if is_new {
-            tracing::warn!(source = ENDPOINT_LIST_SOURCE, reason, "no list");
+            let known_version = self.shared.known_version.get();
+            tracing::warn!(
+                source = ENDPOINT_LIST_SOURCE,
+                reason,
+                known_version,
+                "no list"
+            );
+        }
+        if self.shared.unconfirmed_since.get().is_none() {
+            let now = self.shared.clock.now();
+            self.shared.unconfirmed_since.set(Some(now));
         }
         self.shared.last_error.replace(Some(reason));
     }
