--- /dev/null
+++ b/tests/support/drainable_replica.rs
@@ -0,0 +1,182 @@
+//! A replica that serves requests and probes until a test makes it drain, and a discovery service that answers polls by a
+//! script. Both run on threads of their own, which end with the test's process.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+const SERVED: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
+                      9\r\ndata: 1\n\n\r\n0\r\n\r\n";
+const PROBE_ANSWERED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+const UNAVAILABLE: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+const DECLINED: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// A replica that can drain: from then on it answers probes and requests with 503.
+pub struct DrainableReplica {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    state: Arc<ReplicaState>,
+}
+
+#[derive(Default)]
+struct ReplicaState {
+    is_draining: AtomicBool,
+    /// Ids of the requests that have reached the replica, whatever it answered.
+    requests: Mutex<Vec<String>>,
+}
+
+impl DrainableReplica {
+    /// Starts a replica that is in service.
+    pub fn start() -> DrainableReplica {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let state = Arc::new(ReplicaState::default());
+        let listener_state = state.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let state = listener_state.clone();
+                std::thread::spawn(move || serve(stream, &state));
+            }
+        });
+        DrainableReplica { addr, state }
+    }
+
+    /// Begins to drain.
+    pub fn drain(&self) {
+        self.state.is_draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Ids of the requests that have reached the replica so far.
+    pub fn requests(&self) -> Vec<String> {
+        self.state.requests.lock().unwrap().clone()
+    }
+}
+
+fn serve(mut stream: TcpStream, state: &ReplicaState) {
+    while let Some(head) = read_head(&mut stream) {
+        let is_draining = state.is_draining.load(Ordering::SeqCst);
+        let answer = if head.starts_with("GET ") {
+            [PROBE_ANSWERED, UNAVAILABLE][usize::from(is_draining)]
+        } else {
+            let id = header(&head, "Req-Id").unwrap_or_default();
+            state.requests.lock().unwrap().push(id);
+            [SERVED, DECLINED][usize::from(is_draining)]
+        };
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads a request without a body up to the end of its head; `None` at the end of the connection.
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).ok()
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    let line = head.lines().find(|line| line.starts_with(name))?;
+    line.split_once(": ").map(|(_, value)| value.to_string())
+}
+
+/// What a scripted discovery service does with one poll.
+#[derive(Clone)]
+pub enum PollAnswer {
+    /// Answers with this list.
+    List(String),
+    /// Answers with the first half of this list and keeps the connection open.
+    Half(String),
+    /// Answers with 503.
+    Refused,
+    /// Closes the connection.
+    Closed,
+    /// Waits until the test calls [`ScriptedDiscovery::release`], and answers with this list.
+    Held(String),
+}
+
+/// A discovery service whose polls are answered by a script; polls behind its end are never answered.
+pub struct ScriptedDiscovery {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    state: Arc<DiscoveryState>,
+}
+
+struct DiscoveryState {
+    /// In reverse order.
+    script: Mutex<Vec<PollAnswer>>,
+    polls: Mutex<Vec<String>>,
+    is_released: AtomicBool,
+}
+
+impl ScriptedDiscovery {
+    /// Starts a service with this script.
+    pub fn start(script: &[PollAnswer]) -> ScriptedDiscovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let state = Arc::new(DiscoveryState {
+            script: Mutex::new(script.iter().rev().cloned().collect()),
+            polls: Mutex::default(),
+            is_released: AtomicBool::new(false),
+        });
+        let listener_state = state.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let state = listener_state.clone();
+                std::thread::spawn(move || answer_polls(stream, &state));
+            }
+        });
+        ScriptedDiscovery { addr, state }
+    }
+
+    /// Lets polls be answered that the script holds.
+    pub fn release(&self) {
+        self.state.is_released.store(true, Ordering::SeqCst);
+    }
+
+    /// How many polls have come.
+    pub fn poll_count(&self) -> usize {
+        self.state.polls.lock().unwrap().len()
+    }
+}
+
+fn answer_polls(mut stream: TcpStream, state: &DiscoveryState) {
+    // Keeps a connection open on which no answer comes, until the node closes it.
+    while let Some(head) = read_head(&mut stream) {
+        state.polls.lock().unwrap().push(head);
+        let answer = state.script.lock().unwrap().pop();
+        let bytes = match answer {
+            None => continue,
+            Some(PollAnswer::Closed) => return,
+            Some(PollAnswer::Refused) => UNAVAILABLE.to_string(),
+            Some(PollAnswer::List(list)) => list_answer(&list),
+            Some(PollAnswer::Half(list)) => {
+                let answer = list_answer(&list);
+                answer[..answer.len() - list.len() / 2].to_string()
+            }
+            Some(PollAnswer::Held(list)) => {
+                super::wait_until("the release of a poll", || {
+                    state.is_released.load(Ordering::SeqCst)
+                });
+                list_answer(&list)
+            }
+        };
+        if stream.write_all(bytes.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn list_answer(list: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}",
+        list.len()
+    )
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! A node as a process with stub servers, and clients that send it requests: for tests and benches.
 //!
 //! `node` starts the process, `client` sends requests and reads responses, `stub_replica` stands in for a replica that a test
-//! drives byte by byte.
+//! drives byte by byte, `drainable_replica` for one that drains and for a scripted discovery service.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 #![allow(
@@ -11,12 +11,14 @@
 )]
 
 mod client;
+mod drainable_replica;
 mod node;
 mod stub_replica;
 
 pub use client::{
     read_response, read_some, request_text, run_clients, send_request, send_request_within,
 };
+pub use drainable_replica::{DrainableReplica, PollAnswer, ScriptedDiscovery};
 pub use node::{Node, NodeBuilder};
 pub use stub_replica::accept_request;
 
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -35,6 +35,7 @@
     operator: String,
     semantics: String,
     discovery: String,
+    allows_probes: bool,
     max_sockets: Option<usize>,
     listen: Option<SocketAddr>,
     environment: Vec<(String, PathBuf)>,
@@ -71,6 +72,12 @@
         self
     }
 
+    /// Whether the site allows probes of replicas; not by default.
+    pub fn allows_probes(mut self, allows_probes: bool) -> Self {
+        self.allows_probes = allows_probes;
+        self
+    }
+
     /// How many sockets the process may hold.
     pub fn max_sockets(mut self, max_sockets: usize) -> Self {
         self.max_sockets = Some(max_sockets);
@@ -119,7 +126,11 @@
         let list_end = config.find("]},").unwrap();
         let config = config
             .replace(&config[list_start..list_end], &endpoints.join(","))
-            .replace("\"safe\"", &format!("\"{}\"", self.semantics));
+            .replace("\"safe\"", &format!("\"{}\"", self.semantics))
+            .replace(
+                "\"probes\":false",
+                &format!("\"probes\":{}", self.allows_probes),
+            );
         match self.max_sockets {
             Some(max) => config.replace("\"sockets\":1024", &format!("\"sockets\":{max}")),
             None => config,
@@ -187,6 +198,7 @@
             operator: String::new(),
             semantics: "safe".into(),
             discovery: NO_DISCOVERY.into(),
+            allows_probes: false,
             max_sockets: None,
             listen: None,
             environment: Vec::new(),
