Route by evidence from the replica while the endpoint list may be out of date

Cause: nothing asked how old the endpoint list is. A process that had just started routed by the list of its configuration until its first poll was answered, and a list whose polls failed, stalled or were answered in part went on counting as current, for seconds, while the grace for draining is below one.

Ruled out: attempts that wait for a connection while the list changes (withdrawn since earlier), a process held up between decision and write (0.84 s), and a restored list that says that the replica drains (only available replicas are placed on).

Change: the dispatcher tells the scheduler whether the list is confirmed, unconfirmed or restored. While it is not confirmed and the site allows probes, an attempt goes only to a replica that has answered a probe well within the grace less the time that a process may be held up; draining replicas decline probes. The first poll after a start and after a move of the service does not wait there, so the list is confirmed soon. An answer that is cut, stalls or is no list makes the list doubtful and is polled again at once.

The test poll_after_a_refusal_... asked for a pause after an answer that was cut or was no list; what such an answer held counts as delivered, so a new test asks for doubt and for a poll at once. A moved service is now asked without a wait.

--- /dev/null
+++ b/crates/scheduler/src/endpoint_confirmation.rs
@@ -0,0 +1,108 @@
+//! Whether the endpoint list is known to be current, and what a router goes by while it is not.
+//!
+//! A list is current while discovery has answered and is asked again. One that was restored from an earlier process, whose
+//! polls fail, or of which only a part has come may lack drains and removals of which the router already counts as notified.
+//! Where replicas may be probed, an attempt then goes only to a replica that has just answered a probe well: a draining
+//! replica declines its probes. Where they may not, the last list is used, since without it an outage of discovery would be an
+//! outage of the whole service.
+//!
+//! Invariant: while the list is not current, each attempt follows evidence from the replica itself that is younger than the
+//! grace for draining. Whenever the replica has begun to drain since then, the attempt is within the grace.
+
+use crate::types::Seconds;
+
+/// A router can be held up for this long between reading its clock and writing an attempt.
+const MAX_WRITE_DELAY: Seconds = 0.15;
+/// Evidence is used for this long at least, however short the grace is: none would ever be young enough else.
+const MIN_EVIDENCE_LIFETIME: Seconds = 0.05;
+/// A replica that has declined a probe is not probed again for this long.
+const DECLINE_LIFETIME: Seconds = 0.5;
+/// A replica that leaves a probe unanswered for this long is passed over.
+const PROBE_PATIENCE: Seconds = 0.1;
+/// How long a replica's answer to a probe stands for a current list, by the grace for draining.
+pub(crate) fn evidence_lifetime(drain_grace: Seconds) -> Seconds {
+    let within_grace = (drain_grace - MAX_WRITE_DELAY).max(drain_grace / 2.0);
+    within_grace.max(MIN_EVIDENCE_LIFETIME)
+}
+
+/// What is known of the age of the endpoint list.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum ListConfirmation {
+    /// It is current.
+    #[default]
+    Confirmed,
+    /// It is of an earlier process, or the last poll did not bring all of an answer.
+    Unconfirmed,
+}
+
+impl ListConfirmation {
+    pub(crate) fn is_confirmed(self) -> bool {
+        self == ListConfirmation::Confirmed
+    }
+
+    /// A poll may have missed something. A restored list waits for the poll's end.
+    pub(crate) fn mark_unconfirmed(&mut self) {
+        *self = ListConfirmation::Unconfirmed;
+    }
+}
+
+/// What one replica's answers to probes say of whether it takes requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct ReplicaEvidence {
+    /// When the last probe was sent that was answered well.
+    accepted_at: Option<Seconds>,
+    /// When a probe was last declined or unanswered.
+    declined_at: Option<Seconds>,
+    probes_in_flight: usize,
+    /// When the first of the probes in flight was sent, or an earlier one: an answer counts from no later time.
+    sent_at: Seconds,
+}
+
+impl ReplicaEvidence {
+    pub(crate) fn record_probe_sent(&mut self, now: Seconds) {
+        if self.probes_in_flight == 0 {
+            self.sent_at = now;
+        }
+        self.probes_in_flight += 1;
+    }
+
+    pub(crate) fn record_probe_ended(&mut self, now: Seconds, is_accepted: bool) {
+        if self.probes_in_flight == 0 {
+            return;
+        }
+        self.probes_in_flight -= 1;
+        if is_accepted {
+            self.accepted_at = Some(self.sent_at);
+            self.declined_at = None;
+        } else {
+            self.record_declined(now);
+        }
+    }
+
+    /// The replica has declined a probe or an attempt, or can't be reached.
+    pub(crate) fn record_declined(&mut self, now: Seconds) {
+        self.accepted_at = None;
+        self.declined_at = Some(now);
+    }
+
+    /// Whether the replica has said within `lifetime` that it takes requests.
+    pub(crate) fn is_valid(&self, now: Seconds, lifetime: Seconds) -> bool {
+        self.accepted_at.is_some_and(|at| now < at + lifetime)
+    }
+
+    pub(crate) fn has_probe_in_flight(&self) -> bool {
+        self.probes_in_flight > 0
+    }
+
+    /// Whether another replica is to be asked.
+    pub(crate) fn is_unlikely(&self, now: Seconds) -> bool {
+        let has_declined = self
+            .declined_at
+            .is_some_and(|at| now < at + DECLINE_LIFETIME);
+        let is_unanswered = self.has_probe_in_flight() && now > self.sent_at + PROBE_PATIENCE;
+        has_declined || is_unanswered
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/scheduler/src/endpoint_confirmation/tests.rs
@@ -0,0 +1,57 @@
+//! The states of the list, and how long a replica's answer counts.
+
+use super::{
+    evidence_lifetime, ReplicaEvidence, DECLINE_LIFETIME, MAX_WRITE_DELAY, MIN_EVIDENCE_LIFETIME,
+    PROBE_PATIENCE,
+};
+use proptest::prelude::*;
+
+#[test]
+fn answer_counts_from_when_the_first_probe_in_flight_was_sent() {
+    let mut evidence = ReplicaEvidence::default();
+    evidence.record_probe_sent(1.0);
+    evidence.record_probe_sent(2.0);
+    evidence.record_probe_ended(2.1, true);
+    assert!(evidence.is_valid(1.5, 0.6));
+    assert!(
+        !evidence.is_valid(2.1, 0.6),
+        "it may answer the first probe"
+    );
+    evidence.record_probe_ended(2.2, false);
+    assert!(!evidence.is_valid(1.5, 0.6));
+    assert!(evidence.is_unlikely(2.3));
+    assert!(!evidence.is_unlikely(2.2 + DECLINE_LIFETIME));
+}
+
+#[test]
+fn unanswered_probe_and_unknown_answer() {
+    let mut evidence = ReplicaEvidence::default();
+    evidence.record_probe_ended(1.0, true);
+    assert!(!evidence.is_valid(1.0, 10.0), "no probe was sent");
+    evidence.record_probe_sent(1.0);
+    assert!(!evidence.is_unlikely(1.0));
+    assert!(evidence.is_unlikely(1.01 + PROBE_PATIENCE));
+}
+
+proptest! {
+    /// Whenever the replica begins to drain after its answer, an attempt that is held up before its write is within the
+    /// grace.
+    #[test]
+    fn attempt_by_valid_evidence_is_within_the_grace(
+        grace in 0.2_f64..10.0,
+        sent_at in 0.0_f64..100.0,
+        drained_after in 0.0_f64..1.0,
+        attempted_after in 0.0_f64..10.0,
+    ) {
+        let mut evidence = ReplicaEvidence::default();
+        evidence.record_probe_sent(sent_at);
+        evidence.record_probe_ended(sent_at + drained_after, true);
+        let now = sent_at + attempted_after;
+        let lifetime = evidence_lifetime(grace);
+        prop_assert!(lifetime >= MIN_EVIDENCE_LIFETIME);
+        if evidence.is_valid(now, lifetime) {
+            let written_at = now + MAX_WRITE_DELAY.min(grace / 2.0);
+            prop_assert!(written_at <= sent_at + grace + 1e-9);
+        }
+    }
+}
--- a/crates/scheduler/src/fleet_view.rs
+++ b/crates/scheduler/src/fleet_view.rs
@@ -23,6 +23,8 @@
     pub(crate) prompt_cache: &'a PromptCacheModel,
     /// Most replicas are ejected: their pauses are ignored.
     pub(crate) is_panic_mode: bool,
+    /// The endpoint list may be out of date: an attempt needs evidence from its replica.
+    pub(crate) requires_evidence: bool,
 }
 
 impl FleetView<'_> {
@@ -49,7 +51,9 @@
         } else {
             replica.slow_start.has_budget()
         };
+        let is_ruled_out = self.requires_evidence && replica.evidence.is_unlikely(self.now);
         replica.is_available()
+            && !is_ruled_out
             && is_allowed
             && replica
                 .health
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -92,6 +92,7 @@
 mod attempt;
 mod budgets;
 mod concurrency;
+mod endpoint_confirmation;
 mod endpoint_poll;
 mod fair_queue;
 mod fleet_view;
--- a/crates/scheduler/src/replica.rs
+++ b/crates/scheduler/src/replica.rs
@@ -1,5 +1,6 @@
 //! One replica as this router knows it: what the endpoint list says, what it reports, what it has of this router.
 
+use crate::endpoint_confirmation::ReplicaEvidence;
 use crate::outlier_detection::ReplicaHealth;
 use crate::rendezvous;
 use crate::slow_start::SlowStart;
@@ -163,6 +164,7 @@
     estimate_error: RunningMean,
     pub(crate) load: ReportedLoad,
     pub(crate) probe: ProbeState,
+    pub(crate) evidence: ReplicaEvidence,
     pub(crate) slow_start: SlowStart,
     pub(crate) health: ReplicaHealth,
 }
@@ -182,6 +184,7 @@
             estimate_error: RunningMean::default(),
             load: ReportedLoad::new(),
             probe: ProbeState::default(),
+            evidence: ReplicaEvidence::default(),
             slow_start: SlowStart::default(),
             health: ReplicaHealth::new(),
         }
--- a/crates/scheduler/src/request.rs
+++ b/crates/scheduler/src/request.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt::Attempt;
 use crate::fair_queue::{QueueEntry, QueueKey};
-use crate::types::{IncomingRequest, RequestId, Seconds};
+use crate::types::{IncomingRequest, ReplicaId, RequestId, Seconds};
 
 /// The state of a request.
 ///
@@ -49,6 +49,7 @@
     position: QueuePosition,
     state: RequestState,
     attempts: Vec<Attempt>,
+    awaited_replica: Option<ReplicaId>,
 }
 
 impl Request {
@@ -65,9 +66,19 @@
             position,
             state: RequestState::NotQueued,
             attempts: Vec::new(),
+            awaited_replica: None,
         }
     }
 
+    /// The replica whose evidence the request's next attempt waits for.
+    pub(crate) fn awaited_replica(&self) -> Option<ReplicaId> {
+        self.awaited_replica
+    }
+
+    pub(crate) fn await_replica(&mut self, replica: ReplicaId) {
+        self.awaited_replica = Some(replica);
+    }
+
     pub(crate) fn incoming(&self) -> &IncomingRequest {
         &self.incoming
     }
--- a/crates/scheduler/src/scheduler/arrival.rs
+++ b/crates/scheduler/src/scheduler/arrival.rs
@@ -135,6 +135,7 @@
         for id in &probed {
             if let Some(replica) = self.replicas.get_mut(*id) {
                 replica.probe.record_sent(self.now);
+                replica.evidence.record_probe_sent(self.now);
             }
             actions.push(Action::Probe { replica: *id });
         }
--- a/crates/scheduler/src/scheduler/attempt_events.rs
+++ b/crates/scheduler/src/scheduler/attempt_events.rs
@@ -136,6 +136,14 @@
     }
 
     fn learn_from_outcome(&mut self, outcome: AttemptOutcome, ended: &EndedAttempt) {
+        if matches!(
+            outcome,
+            AttemptOutcome::AtCapacity | AttemptOutcome::ConnectFailed
+        ) {
+            if let Some(replica) = self.replicas.get_mut(ended.replica) {
+                replica.evidence.record_declined(self.now);
+            }
+        }
         match outcome {
             AttemptOutcome::Completed => self.learn_from_completion(ended),
             AttemptOutcome::AtCapacity => {
--- a/crates/scheduler/src/scheduler/dispatch.rs
+++ b/crates/scheduler/src/scheduler/dispatch.rs
@@ -18,7 +18,7 @@
                 return;
             };
             self.dequeue(id);
-            match self.place(id) {
+            match self.place(id, actions) {
                 Some(attempt) => self.start_attempt(id, attempt, actions),
                 None => self.deferred.push(id),
             }
@@ -33,7 +33,7 @@
     }
 
     /// Chooses the replica for a request's next attempt; `None` where no replica qualifies.
-    fn place(&mut self, id: RequestId) -> Option<Attempt> {
+    fn place(&mut self, id: RequestId, actions: &mut Vec<Action>) -> Option<Attempt> {
         let request = self.requests.get(&id)?;
         let priority_weight = self.settings.classes[request.class()].priority_weight;
         let may_cross_zones = self.may_cross_zones(priority_weight);
@@ -42,8 +42,13 @@
             may_cross_zones,
         };
         let candidates = placement::candidates(&self.view(), request, &limits, &ESTIMATE_TIMING);
-        let chosen = placement::choose(candidates, || self.rng.rand_float());
-        if chosen.is_none() && !may_cross_zones {
+        let has_candidates = !candidates.is_empty();
+        let chosen = if self.requires_evidence() {
+            self.choose_by_evidence(id, candidates, actions)
+        } else {
+            placement::choose(candidates, || self.rng.rand_float())
+        };
+        if !has_candidates && !may_cross_zones {
             // The request is tried again at each timer: waiting for that long counts as this part of one attempt wanted.
             let units = TIMER_INTERVAL;
             self.budgets
--- a/crates/scheduler/src/scheduler/endpoint_events.rs
+++ b/crates/scheduler/src/scheduler/endpoint_events.rs
@@ -48,11 +48,13 @@
         }
         if let Some(replica) = self.replicas.get_mut(id) {
             replica.probe.record_ended();
+            let is_accepted = outcome == AttemptOutcome::Completed;
+            replica.evidence.record_probe_ended(self.now, is_accepted);
         }
         if let Some(report) = report {
             self.record_load_report(id, report);
         }
-        if !self.replicas.has_probe_in_flight() {
+        if !self.replicas.has_probe_in_flight() || self.requires_evidence() {
             self.enqueue_deferred();
         }
     }
--- /dev/null
+++ b/crates/scheduler/src/scheduler/evidence.rs
@@ -0,0 +1,73 @@
+//! Attempts while the endpoint list may be out of date: each waits until its replica has answered a probe.
+
+use super::Scheduler;
+use crate::endpoint_confirmation::{evidence_lifetime, ListConfirmation};
+use crate::latency_estimate::Candidate;
+use crate::placement;
+use crate::types::{Action, BudgetKind, EndpointListStatus, ReplicaId, RequestId};
+
+impl Scheduler {
+    pub(super) fn set_endpoint_list_status(&mut self, status: EndpointListStatus) {
+        match status {
+            EndpointListStatus::Confirmed => {
+                self.list_confirmation = ListConfirmation::Confirmed;
+                self.enqueue_deferred();
+            }
+            EndpointListStatus::Unconfirmed => self.list_confirmation.mark_unconfirmed(),
+            EndpointListStatus::Restored => {
+                self.list_confirmation = ListConfirmation::Unconfirmed;
+            }
+        }
+    }
+
+    /// Whether attempts need evidence from their replica: the list may be out of date, and replicas can be asked.
+    pub(super) fn requires_evidence(&self) -> bool {
+        !self.list_confirmation.is_confirmed() && self.settings.limits.allows_probes
+    }
+
+    /// Chooses among the candidates a replica that has just said that it takes requests. Where the chosen one has not, it is
+    /// probed, and the request waits for its answer: `None`.
+    pub(super) fn choose_by_evidence(
+        &mut self,
+        id: RequestId,
+        mut candidates: Vec<Candidate>,
+        actions: &mut Vec<Action>,
+    ) -> Option<Candidate> {
+        let awaited = self.requests.get(&id)?.awaited_replica();
+        let is_awaited = |candidate: &Candidate| awaited == Some(candidate.attempt.replica);
+        let chosen = match candidates.iter().position(is_awaited) {
+            Some(position) => candidates.swap_remove(position),
+            None => placement::choose(candidates, || self.rng.rand_float())?,
+        };
+        let replica = chosen.attempt.replica;
+        if self.has_evidence(replica) {
+            return Some(chosen);
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.await_replica(replica);
+        }
+        self.probe_for_evidence(replica, actions);
+        None
+    }
+
+    fn has_evidence(&self, id: ReplicaId) -> bool {
+        let lifetime = evidence_lifetime(self.settings.lifecycle.drain_grace);
+        self.replicas
+            .get(id)
+            .is_some_and(|replica| replica.evidence.is_valid(self.now, lifetime))
+    }
+
+    fn probe_for_evidence(&mut self, id: ReplicaId, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(replica) = self.replicas.get_mut(id) else {
+            return;
+        };
+        if replica.evidence.has_probe_in_flight() {
+            return;
+        }
+        if self.budgets.request_unit(now, BudgetKind::Probes, 0.0) {
+            replica.evidence.record_probe_sent(now);
+            actions.push(Action::Probe { replica: id });
+        }
+    }
+}
--- a/crates/scheduler/src/scheduler/mod.rs
+++ b/crates/scheduler/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod attempt_events;
 mod dispatch;
 mod endpoint_events;
+mod evidence;
 mod shutdown;
 mod status;
 mod timer;
@@ -18,6 +19,7 @@
 use crate::admission::QueueWaitEstimator;
 use crate::budgets::{BudgetLedger, TenantQuotas};
 use crate::concurrency::ConcurrencyLimit;
+use crate::endpoint_confirmation::ListConfirmation;
 use crate::endpoint_poll::EndpointPoll;
 use crate::fair_queue::FairQueue;
 use crate::fleet_view::FleetView;
@@ -62,6 +64,7 @@
     budgets: BudgetLedger,
     hedging: HedgingLimit,
     endpoint_poll: EndpointPoll,
+    list_confirmation: ListConfirmation,
     traffic: TrafficStatistics,
     host_types: HostTypeStatistics,
     prompt_cache: PromptCacheModel,
@@ -91,6 +94,7 @@
             budgets: BudgetLedger::default(),
             hedging: HedgingLimit::default(),
             endpoint_poll: EndpointPoll::default(),
+            list_confirmation: ListConfirmation::default(),
             traffic: TrafficStatistics::new(),
             host_types: HostTypeStatistics::new(),
             prompt_cache: PromptCacheModel::new(),
@@ -121,6 +125,7 @@
             }
             Event::EndpointsChanged(endpoints) => self.apply_endpoints(&endpoints),
             Event::EndpointListFailed => self.schedule_endpoint_poll_retry(),
+            Event::EndpointListStatusChanged(status) => self.set_endpoint_list_status(status),
             Event::RequestArrived(request) => {
                 if !self.requests.contains_key(&request.id) {
                     self.on_request_arrived(&request, actions);
@@ -195,6 +200,7 @@
             host_types: &self.host_types,
             prompt_cache: &self.prompt_cache,
             is_panic_mode: self.is_panic_mode,
+            requires_evidence: self.requires_evidence(),
         }
     }
 
--- a/crates/scheduler/src/scheduler/timer.rs
+++ b/crates/scheduler/src/scheduler/timer.rs
@@ -70,6 +70,7 @@
             if awaits_probe && allows_probes && replica.probe.is_due(now) {
                 replica.probe.schedule_next(now);
                 if self.budgets.request_unit(now, BudgetKind::Probes, 0.0) {
+                    replica.evidence.record_probe_sent(now);
                     actions.push(Action::Probe { replica: id });
                 }
             }
--- a/crates/scheduler/src/types/endpoint.rs
+++ b/crates/scheduler/src/types/endpoint.rs
@@ -26,6 +26,18 @@
     pub started_at: Option<Seconds>,
 }
 
+/// What is known of the age of the endpoint list that a router has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointListStatus {
+    /// It is current: a poll was answered completely, and the next one is under way or about to be.
+    Confirmed,
+    /// A poll has failed, or is overdue, or a part of its answer is missing: the list may lack changes that the router counts
+    /// as notified of.
+    Unconfirmed,
+    /// It is of an earlier process of this router, and of any age.
+    Restored,
+}
+
 /// Whether a listed replica may be sent requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointState {
--- a/crates/scheduler/src/types/event.rs
+++ b/crates/scheduler/src/types/event.rs
@@ -1,6 +1,8 @@
 //! What the embedding program tells the scheduler.
 
-use super::{Endpoint, IncomingRequest, LoadReport, ReplicaId, RequestId, Seconds};
+use super::{
+    Endpoint, EndpointListStatus, IncomingRequest, LoadReport, ReplicaId, RequestId, Seconds,
+};
 
 /// What happens to a router.
 #[derive(Clone, Debug, PartialEq)]
@@ -11,6 +13,8 @@
     EndpointsChanged(Vec<Endpoint>),
     /// Asking for the endpoint list failed, or its watch broke.
     EndpointListFailed,
+    /// The age of the endpoint list has become known or doubtful. Without such an event the list counts as current.
+    EndpointListStatusChanged(EndpointListStatus),
     /// A client's request has come.
     RequestArrived(IncomingRequest),
     /// The first token of an attempt has come; the request has no deadline from here on.
--- a/crates/scheduler/src/types/mod.rs
+++ b/crates/scheduler/src/types/mod.rs
@@ -14,7 +14,7 @@
 
 pub use action::Action;
 pub use budget::{BudgetDemand, BudgetGrant, BudgetGrants, BudgetKind};
-pub use endpoint::{Endpoint, EndpointState, ReplicaId};
+pub use endpoint::{Endpoint, EndpointListStatus, EndpointState, ReplicaId};
 pub use event::{AttemptOutcome, Event};
 pub use learned_state::{
     BatchSize, CacheHitRates, LearnedState, PrefillTime, ServiceTime, SessionRecord,
--- a/crates/testbed/src/emulator/policies/simple/mod.rs
+++ b/crates/testbed/src/emulator/policies/simple/mod.rs
@@ -121,7 +121,8 @@
             RouterEvent::EndpointsChanged(endpoints) => self.replicas.update_endpoints(&endpoints),
             RouterEvent::ProbeEnded { .. }
             | RouterEvent::OutlierAdvice { .. }
-            | RouterEvent::EndpointListFailed => {}
+            | RouterEvent::EndpointListFailed
+            | RouterEvent::EndpointListStatusChanged(_) => {}
         }
     }
 
--- a/src/program/serve/node.rs
+++ b/src/program/serve/node.rs
@@ -170,7 +170,7 @@
         );
         watcher.set_enabled(self.operator.uses_endpoint_list());
         if let Some(known) = &self.config.known_endpoints {
-            watcher.set_known_version(known.version());
+            watcher.set_restored_version(known.version());
         }
         match self.site.scheduler.endpoint_list_mode {
             EndpointListMode::Pushed => watcher.into_pushed(),
--- a/src/routing/event.rs
+++ b/src/routing/event.rs
@@ -1,7 +1,7 @@
 //! What the router is told.
 
 use poppykeel_scheduler::{
-    AttemptOutcome, Endpoint, IncomingRequest, LoadReport, ReplicaId, RequestId,
+    AttemptOutcome, Endpoint, EndpointListStatus, IncomingRequest, LoadReport, ReplicaId, RequestId,
 };
 
 /// Something that has happened and that the router must know.
@@ -44,6 +44,8 @@
     EndpointsChanged(Vec<Endpoint>),
     /// The watch of the endpoint list has failed.
     EndpointListFailed,
+    /// The age of the endpoint list has become known or doubtful.
+    EndpointListStatusChanged(EndpointListStatus),
     /// The node that probes ejected replicas for all nodes has a verdict on one of them.
     OutlierAdvice {
         /// The replica.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -201,6 +201,9 @@
             RouterEvent::EndpointListFailed => {
                 self.pending_events.push_back(Event::EndpointListFailed);
             }
+            RouterEvent::EndpointListStatusChanged(status) => self
+                .pending_events
+                .push_back(Event::EndpointListStatusChanged(status)),
             RouterEvent::OutlierAdvice {
                 replica,
                 is_healthy,
--- a/src/transport/dispatcher/endpoint_updates.rs
+++ b/src/transport/dispatcher/endpoint_updates.rs
@@ -5,7 +5,7 @@
 use crate::routing::{AttemptId, MonotonicMicros, RouterEvent};
 use crate::transport::messages::{ReplicaAdvice, ENDPOINT_LIST_SOURCE};
 use poppykeel_endpoints::SourceUpdate;
-use poppykeel_scheduler::{AttemptOutcome, Endpoint, EndpointState, ReplicaId};
+use poppykeel_scheduler::{AttemptOutcome, Endpoint, EndpointListStatus, EndpointState, ReplicaId};
 use std::collections::BTreeSet;
 
 impl Dispatcher {
@@ -21,22 +21,56 @@
             .directory
             .apply_update(source, update, self.clock.reading());
         self.apply_endpoint_changes(now, source, changes);
-        // The scheduler decides when discovery is asked again; other sources ask again by themselves.
-        if has_failed && source == ENDPOINT_LIST_SOURCE {
+        if source != ENDPOINT_LIST_SOURCE {
+            return;
+        }
+        if has_failed {
+            self.set_endpoint_list_status(now, EndpointListStatus::Unconfirmed);
+            // The scheduler decides when discovery is asked again; other sources ask again by themselves.
             self.process_event(now, RouterEvent::EndpointListFailed);
+        } else {
+            self.set_endpoint_list_status(now, EndpointListStatus::Confirmed);
         }
     }
 
+    /// Takes the endpoint list of an earlier process. It may be of any age: it says where replicas may be, not that they
+    /// take requests.
+    pub(super) fn restore_endpoints(&mut self, now: MonotonicMicros, update: SourceUpdate) {
+        let changes =
+            self.directory
+                .apply_update(ENDPOINT_LIST_SOURCE, update, self.clock.reading());
+        self.apply_endpoint_changes(now, ENDPOINT_LIST_SOURCE, changes);
+        self.set_endpoint_list_status(now, EndpointListStatus::Restored);
+    }
+
+    /// Tells the router what is known of the list's age.
+    pub(super) fn set_endpoint_list_status(
+        &mut self,
+        now: MonotonicMicros,
+        status: EndpointListStatus,
+    ) {
+        self.process_event(now, RouterEvent::EndpointListStatusChanged(status));
+    }
+
     /// Takes new settings of the endpoint sources.
     pub(super) fn set_endpoint_sources(
         &mut self,
         now: MonotonicMicros,
         sources: EndpointSourceSettings,
     ) {
+        let uses_endpoint_list = sources
+            .registry
+            .sources
+            .iter()
+            .any(|source| source.name == ENDPOINT_LIST_SOURCE);
         let changes = self
             .directory
             .update_settings(sources, self.clock.reading());
         self.apply_endpoint_changes(now, "settings", changes);
+        if !uses_endpoint_list {
+            // Nobody will confirm it any more, and nothing rests on it.
+            self.set_endpoint_list_status(now, EndpointListStatus::Confirmed);
+        }
     }
 
     /// Tells the router what has changed in the endpoint list, and the log on whose word.
--- a/src/transport/dispatcher/logging.rs
+++ b/src/transport/dispatcher/logging.rs
@@ -86,6 +86,9 @@
             tracing::debug!(endpoints = endpoints.len(), "endpoints changed");
         }
         RouterEvent::EndpointListFailed => tracing::debug!("endpoint list failed"),
+        RouterEvent::EndpointListStatusChanged(status) => {
+            tracing::debug!(?status, "endpoint list status");
+        }
         RouterEvent::OutlierAdvice {
             replica,
             is_healthy,
--- a/src/transport/dispatcher/mod.rs
+++ b/src/transport/dispatcher/mod.rs
@@ -24,7 +24,7 @@
 
 use super::clock::Clock;
 use super::endpoints::discovery::EndpointWatcher;
-use super::messages::{DispatcherMessage, Reply, StartedStream, ENDPOINT_LIST_SOURCE};
+use super::messages::{DispatcherMessage, Reply, StartedStream};
 use super::replica::attempts::ReplicaClient;
 use crate::routing::directory::EndpointDirectory;
 use crate::routing::{
@@ -33,7 +33,7 @@
 use clients::{RequestOwners, WaitingClients};
 use in_flight::InFlightAttempts;
 use poppykeel_endpoints::SourceUpdate;
-use poppykeel_scheduler::BudgetGrants;
+use poppykeel_scheduler::{BudgetGrants, EndpointListStatus};
 use poppykeel_site_settings::SiteSettings;
 use std::rc::Rc;
 use std::time::Duration;
@@ -92,7 +92,7 @@
             .router
             .handle_event(now, no_change, &mut dispatcher.commands);
         if let Some(update) = known {
-            dispatcher.handle_endpoint_update(now, ENDPOINT_LIST_SOURCE, update);
+            dispatcher.restore_endpoints(now, update);
         }
         dispatcher
     }
@@ -162,6 +162,9 @@
             DispatcherMessage::EndpointUpdate { source, update } => {
                 self.handle_endpoint_update(now, source, update);
             }
+            DispatcherMessage::EndpointListUnconfirmed => {
+                self.set_endpoint_list_status(now, EndpointListStatus::Unconfirmed);
+            }
             DispatcherMessage::SetEndpointSources(sources) => {
                 self.set_endpoint_sources(now, sources);
             }
--- a/src/transport/endpoints/discovery.rs
+++ b/src/transport/endpoints/discovery.rs
@@ -30,6 +30,9 @@
 /// short against the time within which a drain must be heeded.
 const PUSHED_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// An answer that has begun is complete within this time, unless something is wrong with its way.
+const ANSWER_TRANSFER_TIME: Duration = Duration::from_millis(150);
+
 /// How often the coordination's budget is looked at while it has no poll left for this node.
 const BUDGET_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -77,6 +80,8 @@
     Answered(EndpointListResponse),
     /// The connection was refused or reset, or the answer is no list.
     Refused(PollError),
+    /// An answer began, and the connection failed or closed before its end. What it held counts as delivered.
+    Incomplete(PollError),
     /// No complete answer came in time.
     TimedOut,
 }
@@ -123,6 +128,13 @@
         self.shared.known_version.set(version);
     }
 
+    /// Sets the version of a list that was restored from an earlier process. The first poll does not wait at the service:
+    /// where nothing has changed, a long poll would leave that unsaid for the whole of its wait.
+    pub fn set_restored_version(&self, version: u64) {
+        self.set_known_version(version);
+        self.apply(WatcherEvent::Restored);
+    }
+
     /// Sets whether the list is a source of this node. A list that becomes one is watched at once; one that no longer
     /// is one is not polled again, while a poll that is under way goes on.
     pub fn set_enabled(&self, is_enabled: bool) {
@@ -184,6 +196,7 @@
     /// since another task may have been started by then.
     async fn run(self) {
         while let Some(error) = self.poll_until_failure().await {
+            self.mark_unconfirmed();
             self.log_failure(&error);
             let is_paused = matches!(self.shared.state.get(), WatcherState::Paused(_));
             let report = self.send_update(SourceUpdate::Failed).await;
@@ -223,6 +236,7 @@
                 PollOutcome::ServiceMoved => {
                     self.apply(WatcherEvent::ServiceMoved);
                     connection = None;
+                    self.report_doubt().await;
                 }
                 PollOutcome::Answered(response) => {
                     self.apply(WatcherEvent::Answered);
@@ -234,11 +248,21 @@
                     self.apply(WatcherEvent::Refused);
                     return Some(error);
                 }
+                PollOutcome::Incomplete(error) => {
+                    let state = self.apply(WatcherEvent::AnswerIncomplete);
+                    if !matches!(state, WatcherState::Polling(_)) {
+                        return Some(error);
+                    }
+                    self.report_doubt().await;
+                    self.log_failure(&error);
+                    connection = None;
+                }
                 PollOutcome::TimedOut => {
                     let state = self.apply(WatcherEvent::TimedOut);
                     if !matches!(state, WatcherState::Polling(_)) {
                         return Some(PollError::Timeout);
                     }
+                    self.report_doubt().await;
                     tracing::info!(
                         source = ENDPOINT_LIST_SOURCE,
                         "no answer from discovery in time; polling on a new connection"
@@ -278,6 +302,7 @@
         let exchange = self.exchange(connection, wait);
         match tokio::time::timeout(wait + slack, exchange).await {
             Ok(Ok(response)) => PollOutcome::Answered(response),
+            Ok(Err(error)) if error.is_incomplete_answer() => PollOutcome::Incomplete(error),
             Ok(Err(error)) => PollOutcome::Refused(error),
             Err(_) => PollOutcome::TimedOut,
         }
@@ -316,7 +341,9 @@
             known_version: shared.known_version.get(),
             wait,
         };
-        let response = poll::exchange(&mut wire, request).await?;
+        poll::send(&mut wire, request).await?;
+        poll::answer_begins(&wire).await?;
+        let response = self.read_answer(&mut wire).await?;
         response.check_status()?;
         if response.keeps_connection {
             *connection = Some(wire);
@@ -324,6 +351,40 @@
         response.parse()
     }
 
+    /// Reads an answer that has begun. Its list counts as delivered from its first byte on, so the node's own list is
+    /// doubtful if the rest does not follow.
+    async fn read_answer(
+        &self,
+        connection: &mut HttpConnection,
+    ) -> Result<poll::PollResponse, PollError> {
+        let mut answer = std::pin::pin!(poll::read_answer(connection));
+        // The answer keeps what it has read: it is awaited again after the time-out, not dropped.
+        if let Ok(response) = tokio::time::timeout(ANSWER_TRANSFER_TIME, &mut answer).await {
+            return response;
+        }
+        self.report_doubt().await;
+        answer.await
+    }
+
+    /// Notes that the list may be out of date from now on.
+    fn mark_unconfirmed(&self) {
+        if self.shared.unconfirmed_since.get().is_none() {
+            let now = self.shared.clock.now();
+            self.shared.unconfirmed_since.set(Some(now));
+        }
+    }
+
+    /// Tells the dispatcher that the list may be out of date.
+    async fn report_doubt(&self) {
+        self.mark_unconfirmed();
+        // The channel is closed only once the node has ended.
+        let _ = self
+            .shared
+            .dispatcher
+            .send(DispatcherMessage::EndpointListUnconfirmed)
+            .await;
+    }
+
     /// Sends a list to the dispatcher.
     async fn report_list(
         &self,
@@ -380,10 +441,6 @@
                 "no list"
             );
         }
-        if self.shared.unconfirmed_since.get().is_none() {
-            let now = self.shared.clock.now();
-            self.shared.unconfirmed_since.set(Some(now));
-        }
         self.shared.last_error.replace(Some(reason));
     }
 }
--- a/src/transport/endpoints/poll.rs
+++ b/src/transport/endpoints/poll.rs
@@ -19,6 +19,10 @@
 /// The longest answer that is read.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
+/// An answer of which nothing more comes for this time has stalled. A drain in it counts as delivered from its first byte
+/// on: the time leaves room for another poll within the grace for draining.
+const MAX_ANSWER_GAP: Duration = Duration::from_millis(300);
+
 /// The status of an answer with a list.
 const STATUS_OK: u16 = 200;
 
@@ -31,12 +35,21 @@
     /// The connection could not be opened.
     #[error("{0}")]
     Connect(#[source] std::io::Error),
-    /// The connection failed, or what came is not HTTP.
+    /// The connection failed before an answer.
     #[error("{0}")]
     Http(HttpParseError),
-    /// The service closed the connection before its answer was complete.
+    /// The service closed the connection without an answer.
     #[error("connection closed")]
     Closed,
+    /// The service closed the connection within its answer.
+    #[error("connection closed within the answer")]
+    Cut,
+    /// The rest of an answer did not come.
+    #[error("answer stalled")]
+    Stalled,
+    /// The connection failed within the answer, or what came is not HTTP.
+    #[error("{0}")]
+    Incomplete(HttpParseError),
     /// The answer is longer than [`MAX_RESPONSE_BYTES`].
     #[error("answer too long")]
     TooLong,
@@ -54,6 +67,20 @@
     Timeout,
 }
 
+impl PollError {
+    /// Whether a part of an answer came that may have been a list.
+    pub(super) fn is_incomplete_answer(&self) -> bool {
+        matches!(
+            self,
+            PollError::Cut
+                | PollError::Stalled
+                | PollError::Incomplete(_)
+                | PollError::Json(_)
+                | PollError::List(_)
+        )
+    }
+}
+
 /// What the service is asked.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PollRequest {
@@ -88,14 +115,14 @@
     Ok(Framed::new(socket.into(), HttpCodec::new(Role::Client)))
 }
 
-/// Sends a request and reads its answer, whatever its status.
+/// Sends a request.
 ///
 /// # Errors
-/// The connection fails or closes before the answer is complete, or the answer is too long.
-pub(super) async fn exchange(
+/// The connection fails.
+pub(super) async fn send(
     connection: &mut HttpConnection,
     poll: PollRequest,
-) -> Result<PollResponse, PollError> {
+) -> Result<(), PollError> {
     let target = format!(
         "/v1/servers?since={}&timeout_ms={}",
         poll.known_version,
@@ -105,14 +132,38 @@
     connection
         .send(EncodedMessage::Raw(head))
         .await
-        .map_err(PollError::Http)?;
+        .map_err(PollError::Http)
+}
+
+/// Waits for the first byte of an answer.
+///
+/// # Errors
+/// The connection fails or closes before.
+pub(super) async fn answer_begins(connection: &HttpConnection) -> Result<(), PollError> {
+    match connection.get_ref().peek().await {
+        Ok(0) => Err(PollError::Closed),
+        Ok(_) => Ok(()),
+        Err(e) => Err(PollError::Connect(e)),
+    }
+}
+
+/// Reads an answer that has begun, whatever its status.
+///
+/// # Errors
+/// The connection fails, stalls or closes before the answer is complete, or the answer is too long.
+pub(super) async fn read_answer(
+    connection: &mut HttpConnection,
+) -> Result<PollResponse, PollError> {
     let mut response = PollResponse {
         status: 0,
         body: Vec::new(),
         keeps_connection: false,
     };
     loop {
-        match connection.next().await {
+        let part = tokio::time::timeout(MAX_ANSWER_GAP, connection.next())
+            .await
+            .map_err(|_| PollError::Stalled)?;
+        match part {
             Some(Ok(MessagePart::Head(head))) => {
                 response.keeps_connection = head.keeps_connection;
                 response.status = match head.start_line {
@@ -127,8 +178,8 @@
                 response.body.extend_from_slice(&bytes);
             }
             Some(Ok(MessagePart::End)) => return Ok(response),
-            Some(Err(fault)) => return Err(PollError::Http(fault)),
-            None => return Err(PollError::Closed),
+            Some(Err(fault)) => return Err(PollError::Incomplete(fault)),
+            None => return Err(PollError::Cut),
         }
     }
 }
--- a/src/transport/endpoints/watcher_state.rs
+++ b/src/transport/endpoints/watcher_state.rs
@@ -4,11 +4,12 @@
 //! | --- | --- | --- |
 //! | `Idle(mode)` | `Started` | `Polling(mode)` |
 //! | `Polling(_)` | `Answered` | `Polling(Long)` |
-//! | `Polling(mode)` | `ServiceMoved` | `Polling(mode)` |
+//! | `Idle(_)` | `Restored` | `Idle(Immediate)` |
+//! | `Polling(_)` | `ServiceMoved` | `Polling(Immediate)` |
 //! | `Polling(mode)` | `Disabled` | `Idle(mode)` |
 //! | `Polling(_)` | `Refused` | on request `Idle(Short)`, pushed `Paused(Short)` |
-//! | `Polling(Long)`, `Polling(Short)` | `TimedOut` | `Polling(Immediate)` |
-//! | `Polling(Immediate)` | `TimedOut` | on request `Idle(Immediate)`, pushed `Paused(Immediate)` |
+//! | `Polling(Long)`, `Polling(Short)` | `TimedOut`, `AnswerIncomplete` | `Polling(Immediate)` |
+//! | `Polling(Immediate)` | `TimedOut`, `AnswerIncomplete` | on request `Idle(Immediate)`, pushed `Paused(Immediate)` |
 //! | `Paused(mode)` | `PauseEnded`, `ServiceMoved` | `Polling(mode)` |
 //! | any | `DispatcherGone` | `Stopped` |
 //!
@@ -30,7 +31,8 @@
     Long,
     /// After a refusal: the poll waits for a short time. A service that has just come back has every node to answer.
     Short,
-    /// After a poll without an answer in time: the poll does not wait, so it shows at once whether anybody answers.
+    /// After a poll without a complete answer, for a restored list and at another service: the poll does not wait, so it
+    /// shows at once whether anybody answers, and the list is confirmed soon.
     Immediate,
 }
 
@@ -50,6 +52,8 @@
 /// What happens to a watcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum WatcherEvent {
+    /// The list was restored from an earlier process.
+    Restored,
     /// The list is to be watched.
     Started,
     /// The list is no source of this node any more.
@@ -58,8 +62,10 @@
     ServiceMoved,
     /// The service has answered with a list.
     Answered,
-    /// The connection was refused or reset, or the answer is no list.
+    /// The connection was refused or reset, or the service has answered that it has no list.
     Refused,
+    /// An answer began and did not come to its end, or is no list.
+    AnswerIncomplete,
     /// No complete answer came in time.
     TimedOut,
     /// The pause after a failed poll is over.
@@ -92,8 +98,17 @@
             (Polling(_), WatcherEvent::Answered) => Polling(PollMode::Long),
             (Polling(mode), WatcherEvent::Disabled) => Idle(mode),
             (Polling(_), WatcherEvent::Refused) => failed(PollMode::Short),
-            (Polling(PollMode::Immediate), WatcherEvent::TimedOut) => failed(PollMode::Immediate),
-            (Polling(_), WatcherEvent::TimedOut) => Polling(PollMode::Immediate),
+            (
+                Polling(PollMode::Immediate),
+                WatcherEvent::TimedOut | WatcherEvent::AnswerIncomplete,
+            ) => failed(PollMode::Immediate),
+            (
+                Polling(_),
+                WatcherEvent::TimedOut
+                | WatcherEvent::AnswerIncomplete
+                | WatcherEvent::ServiceMoved,
+            ) => Polling(PollMode::Immediate),
+            (Idle(_), WatcherEvent::Restored) => Idle(PollMode::Immediate),
             (Idle(mode), WatcherEvent::Started)
             | (Paused(mode), WatcherEvent::PauseEnded | WatcherEvent::ServiceMoved) => {
                 Polling(mode)
--- a/src/transport/endpoints/watcher_state/tests.rs
+++ b/src/transport/endpoints/watcher_state/tests.rs
@@ -2,13 +2,16 @@
 
 use super::PollMode::{Immediate, Long, Short};
 use super::WatcherEvent::{
-    Answered, Disabled, DispatcherGone, PauseEnded, Refused, ServiceMoved, Started, TimedOut,
+    AnswerIncomplete, Answered, Disabled, DispatcherGone, PauseEnded, Refused, Restored,
+    ServiceMoved, Started, TimedOut,
 };
 use super::WatcherState::{Idle, Paused, Polling, Stopped};
 use super::{WatcherEvent, WatcherState};
 use poppykeel_scheduler::EndpointListMode;
 
-const EVENTS: [WatcherEvent; 8] = [
+const EVENTS: [WatcherEvent; 10] = [
+    Restored,
+    AnswerIncomplete,
     Started,
     Disabled,
     ServiceMoved,
@@ -40,9 +43,11 @@
         (Polling(mode), Disabled) => Some(Idle(mode)),
         (Polling(_), Refused) if is_pushed => Some(Paused(Short)),
         (Polling(_), Refused) => Some(Idle(Short)),
-        (Polling(Long | Short), TimedOut) => Some(Polling(Immediate)),
-        (Polling(Immediate), TimedOut) if is_pushed => Some(Paused(Immediate)),
-        (Polling(Immediate), TimedOut) => Some(Idle(Immediate)),
+        (Idle(_), Restored) => Some(Idle(Immediate)),
+        (Polling(_), ServiceMoved) => Some(Polling(Immediate)),
+        (Polling(Long | Short), TimedOut | AnswerIncomplete) => Some(Polling(Immediate)),
+        (Polling(Immediate), TimedOut | AnswerIncomplete) if is_pushed => Some(Paused(Immediate)),
+        (Polling(Immediate), TimedOut | AnswerIncomplete) => Some(Idle(Immediate)),
         (Paused(mode), PauseEnded | ServiceMoved) => Some(Polling(mode)),
         (_, DispatcherGone) => Some(Stopped),
         _ => None,
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -151,6 +151,8 @@
         /// The load report that came with the response.
         report: Option<LoadReport>,
     },
+    /// Discovery's endpoint list may be out of date: a poll is overdue, or a part of its answer is missing.
+    EndpointListUnconfirmed,
     /// A probe has ended.
     ProbeEnded {
         /// The replica that was probed.
--- a/tests/endpoint_watcher.rs
+++ b/tests/endpoint_watcher.rs
@@ -69,17 +69,24 @@
     stream.write_all((head + body).as_bytes()).await.unwrap();
 }
 
-/// The next update that the watcher sends to the dispatcher.
+/// The next update that the watcher sends to the dispatcher; that the list is doubtful is passed over.
 async fn next_update(messages: &mut mpsc::Receiver<DispatcherMessage>) -> SourceUpdate {
-    match tokio::time::timeout(TEST_TIMEOUT, messages.recv())
-        .await
-        .expect("an update is sent")
-    {
-        Some(DispatcherMessage::EndpointUpdate { update: told, .. }) => told,
-        _ => panic!("something else was sent"),
+    loop {
+        match next_message(messages).await {
+            DispatcherMessage::EndpointUpdate { update: told, .. } => return told,
+            DispatcherMessage::EndpointListUnconfirmed => {}
+            _ => panic!("something else was sent"),
+        }
     }
 }
 
+async fn next_message(messages: &mut mpsc::Receiver<DispatcherMessage>) -> DispatcherMessage {
+    tokio::time::timeout(TEST_TIMEOUT, messages.recv())
+        .await
+        .expect("a message is sent")
+        .expect("the watcher runs")
+}
+
 /// A watcher of a service: the service, the watcher, and the messages that it sends to the dispatcher.
 async fn start_watcher(
     slack: Duration,
@@ -190,8 +197,7 @@
 async fn poll_after_a_refusal_waits_for_a_short_time_and_its_silence_shows_soon() {
     let refusals = [
         "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 90\r\nConnection: close\r\n\r\n{\"version\":42,\"full\"",
-        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nno list\r\n",
+        "",
     ];
     let test = async {
         for refusal in refusals {
@@ -218,6 +224,71 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// An answer that is cut, stalls or is no list may have held a drain, which counts as delivered: the list is doubtful, and
+/// the poll is repeated at once on a new connection, without a wait at the service.
+#[tokio::test]
+async fn incomplete_answer_makes_the_list_doubtful_and_is_polled_again_at_once() {
+    let incomplete = [
+        (true, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\nConnection: close\r\n\r\n{\"version\":42,\"full\""),
+        (true, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nno list\r\n"),
+        (false, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"version\":42"),
+        (false, "HTTP/1.1 200"),
+    ];
+    let test = async {
+        for (closes, bytes) in incomplete {
+            let (service, _watcher, mut messages) =
+                start_watcher(Duration::from_secs(2), false).await;
+            let (mut first, text) = next_poll(&service, None).await;
+            assert!(text.contains("since=41&timeout_ms=50 "), "{text}");
+            first.write_all(bytes.as_bytes()).await.unwrap();
+            let _open = (!closes).then_some(first);
+            assert!(
+                matches!(
+                    next_message(&mut messages).await,
+                    DispatcherMessage::EndpointListUnconfirmed
+                ),
+                "'{bytes}' is doubtful"
+            );
+            let (mut repeated, text) = next_poll(&service, None).await;
+            assert!(text.contains("since=41&timeout_ms=0 "), "{text}");
+            answer(&mut repeated, DRAIN).await;
+            assert!(
+                matches!(next_update(&mut messages).await, SourceUpdate::Changes(changes) if changes.len() == 1)
+            );
+            let (_repeated, text) = next_poll(&service, Some(repeated)).await;
+            assert!(text.contains("since=42&timeout_ms=50 "), "{text}");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// A restored list is confirmed by the first poll, which does not wait at the service.
+#[tokio::test]
+async fn first_poll_after_a_restored_list_does_not_wait_at_the_service() {
+    let test = async {
+        let service = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (dispatcher, mut messages) = mpsc::channel(16);
+        let watcher = EndpointWatcher::new(
+            service.local_addr().unwrap(),
+            bounds(Duration::from_secs(2)),
+            dispatcher,
+            Clock::start(),
+        );
+        watcher.set_restored_version(41);
+        watcher.start();
+        let (mut stream, text) = next_poll(&service, None).await;
+        assert!(text.contains("since=41&timeout_ms=0 "), "{text}");
+        answer(&mut stream, NO_CHANGES).await;
+        assert_eq!(
+            next_update(&mut messages).await,
+            SourceUpdate::Changes(Vec::new())
+        );
+        let (_stream, text) = next_poll(&service, Some(stream)).await;
+        assert!(text.contains("since=41&timeout_ms=50 "), "{text}");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against rare forms of answers: no changes, a full list where changes were asked for, and a list of an earlier
 /// version, as a service has that has lost its count. The latest answer is what counts.
 #[tokio::test]
@@ -274,7 +345,11 @@
         let (_waiting, _) = next_poll(&previous, None).await;
         let new = TcpListener::bind("127.0.0.1:0").await.unwrap();
         watcher.set_service_addr(new.local_addr().unwrap());
-        let (mut connection, _) = next_poll(&new, None).await;
+        let (mut connection, text) = next_poll(&new, None).await;
+        assert!(
+            text.contains("timeout_ms=0 "),
+            "the list is confirmed there at once: {text}"
+        );
         answer(&mut connection, DRAIN).await;
         assert!(
             matches!(next_update(&mut messages).await, SourceUpdate::Changes(changes) if changes.len() == 1)
