--- a/tests/stale_endpoints.rs
+++ b/tests/stale_endpoints.rs
@@ -126,3 +126,19 @@
         assert_drain_is_heeded(&node, &draining, case);
     }
 }
+/// A site that does not allow probes: what comes before the first poll has ended waits for it.
+#[test]
+fn restarted_node_without_probes_holds_requests_until_its_first_poll_has_ended() {
+    let (draining, serving) = (DrainableReplica::start(), DrainableReplica::start());
+    draining.drain();
+    let discovery = ScriptedDiscovery::start(&[PollAnswer::Held(drain_of(0, draining.addr))]);
+    let node = node_of("restart-held", &discovery, &[draining.addr, serving.addr]).start();
+    std::thread::scope(|scope| {
+        let clients = scope.spawn(|| assert_drain_is_heeded(&node, &draining, "held"));
+        wait_until("the first poll", || discovery.poll_count() > 0);
+        // Requests that do not wait for the poll are at a replica by then.
+        std::thread::sleep(LONGER_THAN_GRACE);
+        discovery.release();
+        clients.join().unwrap();
+    });
+}
