Hold requests of a restarted node for its first poll where replicas cannot be probed

Requests now wait until the first poll of the process has ended, for 3 s at most, and then go by the list that it brought or, where it failed, by the restored one: without it an outage of discovery would be an outage of the service.

--- a/crates/scheduler/src/endpoint_confirmation.rs
+++ b/crates/scheduler/src/endpoint_confirmation.rs
@@ -3,8 +3,8 @@
 //! A list is current while discovery has answered and is asked again. One that was restored from an earlier process, whose
 //! polls fail, or of which only a part has come may lack drains and removals of which the router already counts as notified.
 //! Where replicas may be probed, an attempt then goes only to a replica that has just answered a probe well: a draining
-//! replica declines its probes. Where they may not, the last list is used, since without it an outage of discovery would be an
-//! outage of the whole service.
+//! replica declines its probes. Where they may not, requests wait for the end of the first poll after a start; later the last
+//! list is used, since without it an outage of discovery would be an outage of the whole service.
 //!
 //! Invariant: while the list is not current, each attempt follows evidence from the replica itself that is younger than the
 //! grace for draining. Whenever the replica has begun to drain since then, the attempt is within the grace.
@@ -19,6 +19,9 @@
 const DECLINE_LIFETIME: Seconds = 0.5;
 /// A replica that leaves a probe unanswered for this long is passed over.
 const PROBE_PATIENCE: Seconds = 0.1;
+/// Requests wait for the first poll for this long at most: by then clients prefer an answer by the restored list.
+const MAX_FIRST_POLL_WAIT: Seconds = 3.0;
+
 /// How long a replica's answer to a probe stands for a current list, by the grace for draining.
 pub(crate) fn evidence_lifetime(drain_grace: Seconds) -> Seconds {
     let within_grace = (drain_grace - MAX_WRITE_DELAY).max(drain_grace / 2.0);
@@ -31,7 +34,12 @@
     /// It is current.
     #[default]
     Confirmed,
-    /// It is of an earlier process, or the last poll did not bring all of an answer.
+    /// It is of an earlier process, and no poll of this one has ended.
+    Restored {
+        /// When it was restored.
+        at: Seconds,
+    },
+    /// It was current once, or may be: the last poll did not bring all of an answer.
     Unconfirmed,
 }
 
@@ -40,9 +48,26 @@
         self == ListConfirmation::Confirmed
     }
 
+    /// Whether requests wait for the first poll, at a site where replicas can't be probed.
+    pub(crate) fn awaits_first_poll(self, now: Seconds) -> bool {
+        match self {
+            ListConfirmation::Restored { at } => now < at + MAX_FIRST_POLL_WAIT,
+            ListConfirmation::Confirmed | ListConfirmation::Unconfirmed => false,
+        }
+    }
+
     /// A poll may have missed something. A restored list waits for the poll's end.
     pub(crate) fn mark_unconfirmed(&mut self) {
-        *self = ListConfirmation::Unconfirmed;
+        if self.is_confirmed() {
+            *self = ListConfirmation::Unconfirmed;
+        }
+    }
+
+    /// A poll has ended without a list.
+    pub(crate) fn record_failed_poll(&mut self) {
+        if !self.is_confirmed() {
+            *self = ListConfirmation::Unconfirmed;
+        }
     }
 }
 
--- a/crates/scheduler/src/endpoint_confirmation/tests.rs
+++ b/crates/scheduler/src/endpoint_confirmation/tests.rs
@@ -1,11 +1,33 @@
 //! The states of the list, and how long a replica's answer counts.
 
 use super::{
-    evidence_lifetime, ReplicaEvidence, DECLINE_LIFETIME, MAX_WRITE_DELAY, MIN_EVIDENCE_LIFETIME,
-    PROBE_PATIENCE,
+    evidence_lifetime, ListConfirmation, ReplicaEvidence, DECLINE_LIFETIME, MAX_FIRST_POLL_WAIT,
+    MAX_WRITE_DELAY, MIN_EVIDENCE_LIFETIME, PROBE_PATIENCE,
 };
 use proptest::prelude::*;
 
+#[test]
+fn restored_list_waits_for_the_end_of_a_poll_or_for_a_bounded_time() {
+    let restored = ListConfirmation::Restored { at: 10.0 };
+    assert!(restored.awaits_first_poll(10.0 + MAX_FIRST_POLL_WAIT / 2.0));
+    assert!(!restored.awaits_first_poll(10.0 + MAX_FIRST_POLL_WAIT));
+    let mut list = restored;
+    list.mark_unconfirmed();
+    assert_eq!(list, restored, "the poll has not ended");
+    list.record_failed_poll();
+    assert_eq!(list, ListConfirmation::Unconfirmed);
+}
+
+#[test]
+fn confirmed_list_is_unconfirmed_by_an_incomplete_answer() {
+    let mut list = ListConfirmation::Confirmed;
+    list.record_failed_poll();
+    assert!(list.is_confirmed(), "who reports the failure says so");
+    list.mark_unconfirmed();
+    assert_eq!(list, ListConfirmation::Unconfirmed);
+    assert!(!list.awaits_first_poll(0.0));
+}
+
 #[test]
 fn answer_counts_from_when_the_first_probe_in_flight_was_sent() {
     let mut evidence = ReplicaEvidence::default();
--- a/crates/scheduler/src/scheduler/dispatch.rs
+++ b/crates/scheduler/src/scheduler/dispatch.rs
@@ -12,6 +12,9 @@
 impl Scheduler {
     /// Dispatches queued requests while any replica has capacity for the highest tier that has some.
     pub(super) fn dispatch_queued(&mut self, actions: &mut Vec<Action>) {
+        if self.awaits_first_poll() {
+            return;
+        }
         while self.has_capacity_for_queue() {
             let quantum = self.traffic.mean_request_cost();
             let Some(id) = self.queue.charge_next(quantum) else {
--- a/crates/scheduler/src/scheduler/evidence.rs
+++ b/crates/scheduler/src/scheduler/evidence.rs
@@ -15,7 +15,7 @@
             }
             EndpointListStatus::Unconfirmed => self.list_confirmation.mark_unconfirmed(),
             EndpointListStatus::Restored => {
-                self.list_confirmation = ListConfirmation::Unconfirmed;
+                self.list_confirmation = ListConfirmation::Restored { at: self.now };
             }
         }
     }
@@ -25,6 +25,11 @@
         !self.list_confirmation.is_confirmed() && self.settings.limits.allows_probes
     }
 
+    /// Whether requests wait for the first poll of the endpoint list.
+    pub(super) fn awaits_first_poll(&self) -> bool {
+        !self.settings.limits.allows_probes && self.list_confirmation.awaits_first_poll(self.now)
+    }
+
     /// Chooses among the candidates a replica that has just said that it takes requests. Where the chosen one has not, it is
     /// probed, and the request waits for its answer: `None`.
     pub(super) fn choose_by_evidence(
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -161,6 +161,8 @@
         .discovery(&service)
         .start();
     let mut poll = accept_request(&discovery);
+    // The list of the start is confirmed, so that the request goes out.
+    answer_poll(&mut poll, r#"{"version":41,"full":false,"servers":[]}"#);
     let (id, mut client) = send_request(&node, "late", 3);
     wait_until("the connection", || is_connecting_to(addr.port()));
     let list = [
