--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -6,12 +6,13 @@
 mod support;
 
 use poppykeel_stub_model_server::{ClientOutcome, ReplyScript, StubServers};
-use socket2::{Domain, Socket, Type};
+use socket2::Socket;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use support::{
-    accept_request, read_response, read_some, request_text, send_request, wait_until, Node,
+    accept_request, entry, expect_no_bytes, full_listener, is_connecting_to, read_response,
+    read_some, request_text, send_request, wait_until, Node,
 };
 
 /// How long clients wait for the first token, in seconds.
@@ -89,64 +90,6 @@
     );
 }
 
-/// An entry of the endpoint list.
-fn entry(id: &str, addr: SocketAddr, state: &str) -> String {
-    format!(
-        r#"{{"id":"{id}","addr":"{addr}","zone":"a","kind":"k","cell":0,"state":"{state}","weight":1.0,"started_ms":0}}"#
-    )
-}
-
-/// A listener whose queue is full, with the connections that fill it: connecting to it hangs until one is accepted.
-fn full_listener() -> (TcpListener, Vec<TcpStream>) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket
-        .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
-        .unwrap();
-    socket.listen(0).unwrap();
-    let listener = TcpListener::from(socket);
-    let addr = listener.local_addr().unwrap();
-    let mut queued = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&addr, Duration::from_millis(300)) {
-        queued.push(stream);
-        assert!(queued.len() < 16, "the queue is never full");
-    }
-    (listener, queued)
-}
-
-/// Whether a connection to this port is being established: it is in the state `SYN_SENT`.
-fn is_connecting_to(port: u16) -> bool {
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let to = format!(":{port:04X}");
-    table.lines().skip(1).any(|line| {
-        let mut fields = line.split_whitespace().skip(2);
-        fields.next().is_some_and(|remote| remote.ends_with(&to)) && fields.next() == Some("02")
-    })
-}
-
-/// Accepts connections for some seconds, and expects that no bytes come on any of them.
-fn expect_no_bytes(listener: &TcpListener) {
-    listener.set_nonblocking(true).unwrap();
-    let mut accepted = Vec::new();
-    let start = Instant::now();
-    while start.elapsed() < Duration::from_secs(4) {
-        if let Ok((stream, _)) = listener.accept() {
-            stream.set_nonblocking(true).unwrap();
-            accepted.push(stream);
-        }
-        for stream in &mut accepted {
-            match read_some(stream, &mut [0; 64]) {
-                Ok(0) => {}
-                Ok(length) => panic!("{length} bytes came to a draining replica"),
-                Err(e) => assert!(matches!(
-                    e.kind(),
-                    ErrorKind::WouldBlock | ErrorKind::ConnectionReset
-                )),
-            }
-        }
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// Guards against a request that goes to a replica long after it began draining, since its connection was established late.
 #[test]
 fn connection_established_after_its_replica_began_draining_carries_no_request() {
--- a/tests/support/drainable_replica.rs
+++ b/tests/support/drainable_replica.rs
@@ -100,6 +100,8 @@
     Closed,
     /// Waits until the test calls [`ScriptedDiscovery::release`], and answers with this list.
     Held(String),
+    /// The same, with the first half of this list only.
+    HeldHalf(String),
 }
 
 /// A discovery service whose polls are answered by a script; polls behind its end are never answered.
@@ -157,16 +159,15 @@
             Some(PollAnswer::Closed) => return,
             Some(PollAnswer::Refused) => UNAVAILABLE.to_string(),
             Some(PollAnswer::List(list)) => list_answer(&list),
-            Some(PollAnswer::Half(list)) => {
-                let answer = list_answer(&list);
-                answer[..answer.len() - list.len() / 2].to_string()
-            }
+            Some(PollAnswer::Half(list)) => half_answer(&list),
             Some(PollAnswer::Held(list)) => {
-                super::wait_until("the release of a poll", || {
-                    state.is_released.load(Ordering::SeqCst)
-                });
+                await_release(state);
                 list_answer(&list)
             }
+            Some(PollAnswer::HeldHalf(list)) => {
+                await_release(state);
+                half_answer(&list)
+            }
         };
         if stream.write_all(bytes.as_bytes()).is_err() {
             return;
@@ -174,6 +175,17 @@
     }
 }
 
+fn await_release(state: &DiscoveryState) {
+    super::wait_until("the release of a poll", || {
+        state.is_released.load(Ordering::SeqCst)
+    });
+}
+
+fn half_answer(list: &str) -> String {
+    let answer = list_answer(list);
+    answer[..answer.len() - list.len() / 2].to_string()
+}
+
 fn list_answer(list: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}",
--- /dev/null
+++ b/tests/support/late_listener.rs
@@ -0,0 +1,65 @@
+//! A replica whose connections come up late, as the kernel does it for a listener whose queue is full.
+
+use super::read_some;
+use socket2::{Domain, Socket, Type};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// An entry of the endpoint list.
+pub fn entry(id: &str, addr: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"id":"{id}","addr":"{addr}","zone":"a","kind":"k","cell":0,"state":"{state}","weight":1.0,"started_ms":0}}"#
+    )
+}
+
+/// A listener whose queue is full, with the connections that fill it: connecting to it hangs until one is accepted.
+pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket
+        .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
+        .unwrap();
+    socket.listen(0).unwrap();
+    let listener = TcpListener::from(socket);
+    let addr = listener.local_addr().unwrap();
+    let mut queued = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&addr, Duration::from_millis(300)) {
+        queued.push(stream);
+        assert!(queued.len() < 16, "the queue is never full");
+    }
+    (listener, queued)
+}
+
+/// Whether a connection to this port is being established: it is in the state `SYN_SENT`.
+pub fn is_connecting_to(port: u16) -> bool {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let to = format!(":{port:04X}");
+    table.lines().skip(1).any(|line| {
+        let mut fields = line.split_whitespace().skip(2);
+        fields.next().is_some_and(|remote| remote.ends_with(&to)) && fields.next() == Some("02")
+    })
+}
+
+/// Accepts connections for some seconds, and expects that no bytes come on any of them.
+pub fn expect_no_bytes(listener: &TcpListener) {
+    listener.set_nonblocking(true).unwrap();
+    let mut accepted = Vec::new();
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(4) {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(true).unwrap();
+            accepted.push(stream);
+        }
+        for stream in &mut accepted {
+            match read_some(stream, &mut [0; 64]) {
+                Ok(0) => {}
+                Ok(length) => panic!("{length} bytes came to a draining replica"),
+                Err(e) => assert!(matches!(
+                    e.kind(),
+                    ErrorKind::WouldBlock | ErrorKind::ConnectionReset
+                )),
+            }
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,7 +1,8 @@
 //! A node as a process with stub servers, and clients that send it requests: for tests and benches.
 //!
 //! `node` starts the process, `client` sends requests and reads responses, `stub_replica` stands in for a replica that a test
-//! drives byte by byte, `drainable_replica` for one that drains and for a scripted discovery service.
+//! drives byte by byte, `drainable_replica` for one that drains and for a scripted discovery service,
+//! `late_listener` for one whose connections come up late.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 #![allow(
@@ -12,6 +13,7 @@
 
 mod client;
 mod drainable_replica;
+mod late_listener;
 mod node;
 mod stub_replica;
 
@@ -19,6 +21,7 @@
     read_response, read_some, request_text, run_clients, send_request, send_request_within,
 };
 pub use drainable_replica::{DrainableReplica, PollAnswer, ScriptedDiscovery};
+pub use late_listener::{entry, expect_no_bytes, full_listener, is_connecting_to};
 pub use node::{Node, NodeBuilder};
 pub use stub_replica::accept_request;
 
