Look again at deadline and endpoint list when the connection of an attempt is up

Cause: the time that a replica is told and the decision for the replica were those of the placement, however long the connection took (up to dialTimeout; with 0.6 s the replica was told 0.6 s more than its client had left, 0.15 s are allowed).

Change: the time left is computed before the first byte. While the endpoint list is not confirmed, an attempt whose connection comes up later than its share of the grace is not sent and is placed anew. Evidence may be half of the grace old when an attempt is placed; the other half, less 0.15 s, is for the connection.

--- a/crates/scheduler/src/endpoint_confirmation.rs
+++ b/crates/scheduler/src/endpoint_confirmation.rs
@@ -6,15 +6,20 @@
 //! replica declines its probes. Where they may not, requests wait for the end of the first poll after a start; later the last
 //! list is used, since without it an outage of discovery would be an outage of the whole service.
 //!
-//! Invariant: while the list is not current, each attempt follows evidence from the replica itself that is younger than the
-//! grace for draining. Whenever the replica has begun to drain since then, the attempt is within the grace.
+//! Invariant: while the list is not current, the first byte of each attempt follows evidence from the replica itself within
+//! the grace for draining. Whenever the replica has begun to drain since then, the attempt is within the grace. Half of the
+//! grace is for the age of the evidence when the attempt is placed; the other half, less the time for which a process may be
+//! held up, is for its connection ([`max_begin_delay`]).
 
 use crate::types::Seconds;
 
 /// A router can be held up for this long between reading its clock and writing an attempt.
 const MAX_WRITE_DELAY: Seconds = 0.15;
-/// Evidence is used for this long at least, however short the grace is: none would ever be young enough else.
-const MIN_EVIDENCE_LIFETIME: Seconds = 0.05;
+/// Evidence is used, and connections are waited for, for this long at least, however short the grace is: nothing would ever
+/// be young enough else.
+const MIN_LIFETIME: Seconds = 0.05;
+/// The age that evidence may have when an attempt is placed, as a part of the grace for draining.
+const EVIDENCE_PART: f64 = 0.5;
 /// A replica that has declined a probe is not probed again for this long.
 const DECLINE_LIFETIME: Seconds = 0.5;
 /// A replica that leaves a probe unanswered for this long is passed over.
@@ -24,8 +29,13 @@
 
 /// How long a replica's answer to a probe stands for a current list, by the grace for draining.
 pub(crate) fn evidence_lifetime(drain_grace: Seconds) -> Seconds {
-    let within_grace = (drain_grace - MAX_WRITE_DELAY).max(drain_grace / 2.0);
-    within_grace.max(MIN_EVIDENCE_LIFETIME)
+    (drain_grace * EVIDENCE_PART).max(MIN_LIFETIME)
+}
+
+/// An attempt must begin to be written within this many seconds of being placed if the endpoint list is not current then; by
+/// the grace for draining in seconds.
+pub fn max_begin_delay(drain_grace: Seconds) -> Seconds {
+    (drain_grace * (1.0 - EVIDENCE_PART) - MAX_WRITE_DELAY).max(MIN_LIFETIME)
 }
 
 /// What is known of the age of the endpoint list.
--- a/crates/scheduler/src/endpoint_confirmation/tests.rs
+++ b/crates/scheduler/src/endpoint_confirmation/tests.rs
@@ -1,8 +1,8 @@
 //! The states of the list, and how long a replica's answer counts.
 
 use super::{
-    evidence_lifetime, ListConfirmation, ReplicaEvidence, DECLINE_LIFETIME, MAX_FIRST_POLL_WAIT,
-    MAX_WRITE_DELAY, MIN_EVIDENCE_LIFETIME, PROBE_PATIENCE,
+    evidence_lifetime, max_begin_delay, ListConfirmation, ReplicaEvidence, DECLINE_LIFETIME,
+    MAX_FIRST_POLL_WAIT, MAX_WRITE_DELAY, PROBE_PATIENCE,
 };
 use proptest::prelude::*;
 
@@ -60,7 +60,7 @@
     /// grace.
     #[test]
     fn attempt_by_valid_evidence_is_within_the_grace(
-        grace in 0.2_f64..10.0,
+        grace in 0.4_f64..10.0,
         sent_at in 0.0_f64..100.0,
         drained_after in 0.0_f64..1.0,
         attempted_after in 0.0_f64..10.0,
@@ -69,10 +69,8 @@
         evidence.record_probe_sent(sent_at);
         evidence.record_probe_ended(sent_at + drained_after, true);
         let now = sent_at + attempted_after;
-        let lifetime = evidence_lifetime(grace);
-        prop_assert!(lifetime >= MIN_EVIDENCE_LIFETIME);
-        if evidence.is_valid(now, lifetime) {
-            let written_at = now + MAX_WRITE_DELAY.min(grace / 2.0);
+        if evidence.is_valid(now, evidence_lifetime(grace)) {
+            let written_at = now + max_begin_delay(grace) + MAX_WRITE_DELAY;
             prop_assert!(written_at <= sent_at + grace + 1e-9);
         }
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -29,4 +29,4 @@
 pub use statistics::{
     CountedOutcome, OutcomeCount, RequestCounters, ResponseCounts, COUNTED_OUTCOMES,
 };
-pub use time::{seconds, ClockReading, DurationMicros, MonotonicMicros};
+pub use time::{duration_micros, seconds, ClockReading, DurationMicros, MonotonicMicros};
--- a/src/routing/time.rs
+++ b/src/routing/time.rs
@@ -25,7 +25,7 @@
 }
 
 /// A span of the scheduler's, rounded to whole microseconds. A negative span and one that is not a number count as none.
-pub(super) fn duration_micros(span: Seconds) -> DurationMicros {
+pub fn duration_micros(span: Seconds) -> DurationMicros {
     (span.max(0.0) * MICROS_PER_SECOND).round() as DurationMicros
 }
 
--- a/src/transport/dispatcher/commands.rs
+++ b/src/transport/dispatcher/commands.rs
@@ -2,11 +2,11 @@
 
 use super::in_flight::InFlightAttempt;
 use super::{logging, Dispatcher};
-use crate::routing::{AttemptId, MonotonicMicros, RouterCommand, RouterEvent};
+use crate::routing::{duration_micros, AttemptId, MonotonicMicros, RouterCommand, RouterEvent};
 use crate::transport::messages::ClientResponse;
 use crate::transport::replica::attempts::AttemptRequest;
 use crate::transport::replica::pool::ReplicaAddress;
-use poppykeel_scheduler::{AttemptOutcome, ReplicaId, RequestId};
+use poppykeel_scheduler::{max_begin_delay, AttemptOutcome, ReplicaId, RequestId};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -97,13 +97,17 @@
     ) -> Option<AttemptRequest> {
         let addr = self.directory.addr(replica)?;
         let client = self.waiting_clients.get(id.request)?;
+        let settings = &self.replica_client.site().scheduler;
+        let begin_delay = max_begin_delay(settings.lifecycle.drain_grace);
+        let begin_by = now.saturating_add(duration_micros(begin_delay));
         let own_zone = self.replica_client.site().scheduler.zone;
         let is_cross_zone = self.directory.zone(replica) != Some(own_zone);
         Some(AttemptRequest {
             request: id.request,
             attempt: id.attempt,
             address: ReplicaAddress { replica, addr },
-            timeout: deadline.saturating_sub(now),
+            deadline,
+            begin_by: settings.limits.allows_probes.then_some(begin_by),
             inter_token_objective: client.inter_token_objective,
             cross_zone_group: is_cross_zone.then_some(client.group),
             payload: client.payload.clone(),
--- a/src/transport/dispatcher/endpoint_updates.rs
+++ b/src/transport/dispatcher/endpoint_updates.rs
@@ -49,6 +49,8 @@
         now: MonotonicMicros,
         status: EndpointListStatus,
     ) {
+        self.replica_client
+            .set_list_confirmed(status == EndpointListStatus::Confirmed);
         self.process_event(now, RouterEvent::EndpointListStatusChanged(status));
     }
 
--- a/src/transport/replica/attempts.rs
+++ b/src/transport/replica/attempts.rs
@@ -15,7 +15,7 @@
 use crate::protocol::http::{EncodedMessage, HttpParseError, MessagePart};
 use crate::protocol::request;
 use crate::routing::cross_zone::{CrossZoneTraffic, RequestGroup};
-use crate::routing::DurationMicros;
+use crate::routing::{DurationMicros, MonotonicMicros};
 use crate::transport::clock::Clock;
 use crate::transport::messages::{DispatcherMessage, RequestPayload, StartedStream, StreamChunk};
 use crate::transport::TransportLimits;
@@ -49,6 +49,8 @@
     sent_count: Rc<Cell<u64>>,
     /// Attempts that were written completely and went to another zone.
     cross_zone_traffic: Rc<RefCell<CrossZoneTraffic>>,
+    /// Whether the endpoint list by which attempts were placed is still known to be current.
+    is_list_confirmed: Rc<Cell<bool>>,
     clock: Clock,
 }
 
@@ -60,8 +62,10 @@
     pub attempt: usize,
     /// The replica and where it listens.
     pub address: ReplicaAddress,
-    /// How long the node will wait for the first token, as the replica is told.
-    pub timeout: DurationMicros,
+    /// The node waits for the first token until then, and the replica is told how long that is when the request is written.
+    pub deadline: MonotonicMicros,
+    /// If the endpoint list is not confirmed when the connection is up, the request is written until then only.
+    pub begin_by: Option<MonotonicMicros>,
     /// The class's objective for the time between two tokens.
     pub inter_token_objective: Option<DurationMicros>,
     /// The request's class and tenant, where the replica is in another zone.
@@ -109,6 +113,7 @@
             stream_monitor,
             sent_count: Rc::default(),
             cross_zone_traffic: Rc::default(),
+            is_list_confirmed: Rc::new(Cell::new(true)),
             clock,
         }
     }
@@ -123,6 +128,11 @@
         self.site = site;
     }
 
+    /// Sets whether the endpoint list is known to be current, for attempts that wait for their connections, too.
+    pub fn set_list_confirmed(&self, is_confirmed: bool) {
+        self.is_list_confirmed.set(is_confirmed);
+    }
+
     /// What follows all streams.
     pub fn stream_monitor(&self) -> &StreamMonitor {
         &self.stream_monitor
@@ -186,9 +196,17 @@
                 return AttemptEnd::without_connection(AttemptOutcome::NotSent);
             }
         };
+        // The connection may have come up late: what the attempt was placed by is looked at again now.
+        let now = self.clock.now();
+        let time_left = attempt.deadline.saturating_sub(now);
+        if time_left == 0 || self.is_outdated(&attempt, now) {
+            self.pool
+                .release(attempt.address, connection, Duration::ZERO);
+            return AttemptEnd::without_connection(AttemptOutcome::NotSent);
+        }
         // Nothing is awaited between this and the first write.
         attempt.has_begun.set(true);
-        let head = request::attempt_head(&attempt.payload.head, attempt.timeout);
+        let head = request::attempt_head(&attempt.payload.head, time_left);
         let body = attempt.payload.body.clone();
         if write_request(&mut connection, head, body).await.is_err() {
             // Before its last byte is written a request can't have run.
@@ -198,6 +216,12 @@
         self.forward_response(&attempt, connection).await
     }
 
+    /// Whether an attempt may no longer begin: its replica may drain by now, and the node has not been told.
+    fn is_outdated(&self, attempt: &AttemptRequest, now: MonotonicMicros) -> bool {
+        let is_late = attempt.begin_by.is_some_and(|begin_by| now > begin_by);
+        is_late && !self.is_list_confirmed.get()
+    }
+
     fn count_sent(&self, cross_zone_group: Option<RequestGroup>) {
         self.sent_count.set(self.sent_count.get() + 1);
         if let Some(group) = cross_zone_group {
