Show that a suspended process takes its list for current, failing

The test of an unsent attempt whose replica moves to another address passes: the registry takes that for another endpoint, so the attempt is withdrawn already.

--- a/tests/late_connections.rs
+++ b/tests/late_connections.rs
@@ -13,8 +13,8 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 use support::{
-    entry, expect_no_request, full_listener, is_connecting_to, request_text, wait_until, Node,
-    PollAnswer, ScriptedDiscovery,
+    entry, expect_no_bytes, expect_no_request, full_listener, is_connecting_to, request_text,
+    wait_until, DrainableReplica, Node, PollAnswer, ScriptedDiscovery,
 };
 
 const DEADLINE_S: f64 = 10.0;
@@ -117,3 +117,22 @@
     drop(queued);
     expect_no_request(&late);
 }
+
+/// The replica has another address now: the attempt goes there, and not to whatever listens at the old one.
+#[test]
+fn unsent_attempt_follows_its_replica_to_another_address() {
+    let (late, queued) = full_listener();
+    let addr = late.local_addr().unwrap();
+    let moved = DrainableReplica::start();
+    let discovery = ScriptedDiscovery::start(&[
+        PollAnswer::List(NO_CHANGES.into()),
+        PollAnswer::Held(changes(&[entry("s-0", moved.addr, "up")])),
+    ]);
+    let (_node, _client) = node_with_connecting_attempt("moved", addr, &discovery, false);
+    discovery.release();
+    wait_until("the request at the new address", || {
+        moved.requests() == [REQUEST_ID]
+    });
+    drop(queued);
+    expect_no_bytes(&late);
+}
--- a/tests/stale_endpoints.rs
+++ b/tests/stale_endpoints.rs
@@ -142,3 +142,34 @@
         clients.join().unwrap();
     });
 }
+
+/// A process that was suspended goes on with the list that it had: what has changed meanwhile may never have reached it. The
+/// list is asked for anew before a request goes out by it.
+#[test]
+fn suspended_node_does_not_route_by_the_list_from_before() {
+    for allows_probes in [false, true] {
+        let (draining, serving) = (DrainableReplica::start(), DrainableReplica::start());
+        let discovery = ScriptedDiscovery::start(&[
+            PollAnswer::List(NO_CHANGES.into()),
+            // The watch is never answered; the poll after it is.
+            PollAnswer::Silent,
+            PollAnswer::List(drain_of(0, draining.addr)),
+        ]);
+        let case = format!("suspended-{allows_probes}");
+        let node = node_of(&case, &discovery, &[draining.addr, serving.addr])
+            .allows_probes(allows_probes)
+            .start();
+        node.until_logged("endpoint list confirmed");
+        wait_until("the watch", || discovery.poll_count() > 1);
+        node.signal("-STOP");
+        draining.drain();
+        std::thread::sleep(LONGER_THAN_GRACE);
+        std::thread::scope(|scope| {
+            let clients = scope.spawn(|| assert_drain_is_heeded(&node, &draining, &case));
+            // The requests are there when the process goes on.
+            std::thread::sleep(Duration::from_millis(100));
+            node.signal("-CONT");
+            clients.join().unwrap();
+        });
+    }
+}
--- a/tests/support/drainable_replica.rs
+++ b/tests/support/drainable_replica.rs
@@ -96,6 +96,8 @@
     Half(String),
     /// Answers with 503.
     Refused,
+    /// Does not answer, and keeps the connection open.
+    Silent,
     /// Closes the connection.
     Closed,
     /// Waits until the test calls [`ScriptedDiscovery::release`], and answers with this list.
@@ -155,7 +157,7 @@
         state.polls.lock().unwrap().push(head);
         let answer = state.script.lock().unwrap().pop();
         let bytes = match answer {
-            None => continue,
+            None | Some(PollAnswer::Silent) => continue,
             Some(PollAnswer::Closed) => return,
             Some(PollAnswer::Refused) => UNAVAILABLE.to_string(),
             Some(PollAnswer::List(list)) => list_answer(&list),
