Have the endpoint list confirmed anew after the process stood still

Cause: a process that was suspended, or got no processor, goes on with the list and the watch from before; whatever changed meanwhile may never have been written to it. Nothing noticed that more time had passed than the process had seen.

Change: the dispatcher has a turn every 20 ms. After a gap of over 0.25 s it applies what has come, treats the list as restored and has it polled anew, before it takes requests; an attempt whose connection comes up before the dispatcher's turn is not sent.

The log of the polls moves into a module of its own, unchanged.

--- a/src/transport/dispatcher/mod.rs
+++ b/src/transport/dispatcher/mod.rs
@@ -21,6 +21,7 @@
 mod logging;
 mod queries;
 mod requests;
+mod suspension;
 
 use super::clock::Clock;
 use super::endpoints::discovery::EndpointWatcher;
@@ -109,6 +110,10 @@
                 () = sleep_until(wake_at) => {}
             }
             let now = self.clock.now();
+            if self.replica_client.turn_clock().was_suspended(now) {
+                self.recover_from_suspension(now, &mut batch);
+            }
+            self.replica_client.turn_clock().record_turn(now);
             for message in batch.drain(..) {
                 self.handle_message(now, message);
             }
--- a/src/transport/endpoints/discovery.rs
+++ b/src/transport/endpoints/discovery.rs
@@ -10,9 +10,10 @@
 //! for a short time.
 
 use super::poll::{self, PollError, PollRequest};
+use super::poll_log::PollLog;
 use super::watcher_state::{PollMode, WatcherEvent, WatcherState};
 use crate::protocol::discovery::EndpointListResponse;
-use crate::routing::{seconds, MonotonicMicros};
+use crate::routing::seconds;
 use crate::transport::clock::Clock;
 use crate::transport::messages::{DispatcherMessage, ENDPOINT_LIST_SOURCE};
 use crate::transport::{HttpConnection, TransportLimits};
@@ -36,8 +37,6 @@
 /// How often the coordination's budget is looked at while it has no poll left for this node.
 const BUDGET_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-const MICROS_PER_MILLI: u64 = 1_000;
-
 /// What one poll takes out of the budget.
 const UNITS_PER_POLL: f64 = 1.0;
 
@@ -54,8 +53,8 @@
 /// What all handles of one watcher and its task share. Everything runs on one thread.
 struct SharedState {
     service_addr: Cell<SocketAddr>,
-    /// Wakes the task if the service has another address now.
-    service_moved: Notify,
+    /// Has the task drop its poll and begin another.
+    poll_dropped: Notify,
     limits: Rc<TransportLimits>,
     /// To the dispatcher. The task waits while the channel is full.
     dispatcher: mpsc::Sender<DispatcherMessage>,
@@ -64,18 +63,15 @@
     is_enabled: Cell<bool>,
     /// The version of the list that the node has.
     known_version: Cell<u64>,
-    /// Why the last poll failed, if it did.
-    last_error: RefCell<Option<String>>,
-    /// Since when no poll has been answered: the start, or the first failure after an answer.
-    unconfirmed_since: Cell<Option<MonotonicMicros>>,
+    log: PollLog,
     poll_budget: RefCell<BudgetLedger>,
     clock: Clock,
 }
 
 /// How a poll ended.
 enum PollOutcome {
-    /// The service has another address now, and the poll was dropped.
-    ServiceMoved,
+    /// The poll was dropped: another one is to be made.
+    PollDropped,
     /// The service has answered with a list.
     Answered(EndpointListResponse),
     /// The connection was refused or reset, or the answer is no list.
@@ -96,14 +92,13 @@
     ) -> Self {
         let shared = SharedState {
             service_addr: Cell::new(service_addr),
-            service_moved: Notify::new(),
+            poll_dropped: Notify::new(),
             limits,
             dispatcher,
             state: Cell::default(),
             is_enabled: Cell::new(true),
             known_version: Cell::default(),
-            last_error: RefCell::default(),
-            unconfirmed_since: Cell::new(Some(clock.now())),
+            log: PollLog::new(clock.now()),
             poll_budget: RefCell::default(),
             clock,
         };
@@ -180,12 +175,20 @@
             return;
         }
         if self.shared.state.get().is_started() {
-            self.shared.service_moved.notify_one();
+            self.shared.poll_dropped.notify_one();
         } else {
             self.start();
         }
     }
 
+    /// Drops a poll that is under way and polls anew. The process was suspended: the answer that the poll gets may be as old
+    /// as the suspension is long, and its connection may have ended meanwhile.
+    pub fn poll_anew(&self) {
+        if self.shared.state.get().is_started() {
+            self.shared.poll_dropped.notify_one();
+        }
+    }
+
     fn apply(&self, event: WatcherEvent) -> WatcherState {
         let state = self.shared.state.get().after(event, self.list_mode);
         self.shared.state.set(state);
@@ -196,7 +199,6 @@
     /// since another task may have been started by then.
     async fn run(self) {
         while let Some(error) = self.poll_until_failure().await {
-            self.mark_unconfirmed();
             self.log_failure(&error);
             let is_paused = matches!(self.shared.state.get(), WatcherState::Paused(_));
             let report = self.send_update(SourceUpdate::Failed).await;
@@ -216,7 +218,7 @@
         // Both branches are safe to cancel: `notified` keeps a notification that comes later for the next call, and
         // a timer holds nothing.
         let event = tokio::select! {
-            () = self.shared.service_moved.notified() => WatcherEvent::ServiceMoved,
+            () = self.shared.poll_dropped.notified() => WatcherEvent::PollDropped,
             () = tokio::time::sleep(PUSHED_RETRY_PAUSE) => WatcherEvent::PauseEnded,
         };
         self.apply(event);
@@ -233,8 +235,8 @@
                 return None;
             }
             match self.poll(&mut connection, mode).await {
-                PollOutcome::ServiceMoved => {
-                    self.apply(WatcherEvent::ServiceMoved);
+                PollOutcome::PollDropped => {
+                    self.apply(WatcherEvent::PollDropped);
                     connection = None;
                     self.report_doubt().await;
                 }
@@ -281,7 +283,7 @@
         // and loses nothing: the next poll asks for everything after the same version.
         tokio::select! {
             biased;
-            () = self.shared.service_moved.notified() => PollOutcome::ServiceMoved,
+            () = self.shared.poll_dropped.notified() => PollOutcome::PollDropped,
             outcome = self.poll_in_time(connection, mode) => outcome,
         }
     }
@@ -366,17 +368,9 @@
         answer.await
     }
 
-    /// Notes that the list may be out of date from now on.
-    fn mark_unconfirmed(&self) {
-        if self.shared.unconfirmed_since.get().is_none() {
-            let now = self.shared.clock.now();
-            self.shared.unconfirmed_since.set(Some(now));
-        }
-    }
-
     /// Tells the dispatcher that the list may be out of date.
     async fn report_doubt(&self) {
-        self.mark_unconfirmed();
+        self.shared.log.record_doubt(self.shared.clock.now());
         // The channel is closed only once the node has ended.
         let _ = self
             .shared
@@ -390,26 +384,9 @@
         &self,
         response: EndpointListResponse,
     ) -> Result<(), mpsc::error::SendError<DispatcherMessage>> {
-        if self.shared.last_error.replace(None).is_some() {
-            tracing::info!(
-                source = ENDPOINT_LIST_SOURCE,
-                "endpoint list available again"
-            );
-        }
-        tracing::debug!(
-            source = ENDPOINT_LIST_SOURCE,
-            version = response.version(),
-            "endpoint list answered"
-        );
-        if let Some(since) = self.shared.unconfirmed_since.take() {
-            let unconfirmed_ms = (self.shared.clock.now() - since) / MICROS_PER_MILLI;
-            tracing::info!(
-                source = ENDPOINT_LIST_SOURCE,
-                version = response.version(),
-                unconfirmed_ms,
-                "endpoint list confirmed"
-            );
-        }
+        self.shared
+            .log
+            .record_answer(self.shared.clock.now(), response.version());
         // The version is set before the next poll goes out, however late the dispatcher takes the list.
         self.set_known_version(response.version());
         self.send_update(response.into_source_update()).await
@@ -427,20 +404,11 @@
         self.shared.dispatcher.send(message).await
     }
 
-    /// Logs why the list cannot be had, unless the previous poll failed for the same reason: a service that stays away
-    /// is polled many times.
     fn log_failure(&self, error: &PollError) {
-        let reason = error.to_string();
-        let is_new = self.shared.last_error.borrow().as_ref() != Some(&reason);
-        if is_new {
-            let known_version = self.shared.known_version.get();
-            tracing::warn!(
-                source = ENDPOINT_LIST_SOURCE,
-                reason,
-                known_version,
-                "no list"
-            );
-        }
-        self.shared.last_error.replace(Some(reason));
+        let shared = &self.shared;
+        let known_version = shared.known_version.get();
+        shared
+            .log
+            .record_failure(shared.clock.now(), error, known_version);
     }
 }
--- a/src/transport/endpoints/watcher_state.rs
+++ b/src/transport/endpoints/watcher_state.rs
@@ -5,12 +5,12 @@
 //! | `Idle(mode)` | `Started` | `Polling(mode)` |
 //! | `Polling(_)` | `Answered` | `Polling(Long)` |
 //! | `Idle(_)` | `Restored` | `Idle(Immediate)` |
-//! | `Polling(_)` | `ServiceMoved` | `Polling(Immediate)` |
+//! | `Polling(_)` | `PollDropped` | `Polling(Immediate)` |
 //! | `Polling(mode)` | `Disabled` | `Idle(mode)` |
 //! | `Polling(_)` | `Refused` | on request `Idle(Short)`, pushed `Paused(Short)` |
 //! | `Polling(Long)`, `Polling(Short)` | `TimedOut`, `AnswerIncomplete` | `Polling(Immediate)` |
 //! | `Polling(Immediate)` | `TimedOut`, `AnswerIncomplete` | on request `Idle(Immediate)`, pushed `Paused(Immediate)` |
-//! | `Paused(mode)` | `PauseEnded`, `ServiceMoved` | `Polling(mode)` |
+//! | `Paused(mode)` | `PauseEnded`, `PollDropped` | `Polling(mode)` |
 //! | any | `DispatcherGone` | `Stopped` |
 //!
 //! Every other event leaves the state as it is. Two rules stand behind the table:
@@ -58,8 +58,8 @@
     Started,
     /// The list is no source of this node any more.
     Disabled,
-    /// The service has another address now.
-    ServiceMoved,
+    /// The poll that is under way is dropped: the service has another address, or its answer may be out of date.
+    PollDropped,
     /// The service has answered with a list.
     Answered,
     /// The connection was refused or reset, or the service has answered that it has no list.
@@ -104,15 +104,11 @@
             ) => failed(PollMode::Immediate),
             (
                 Polling(_),
-                WatcherEvent::TimedOut
-                | WatcherEvent::AnswerIncomplete
-                | WatcherEvent::ServiceMoved,
+                WatcherEvent::TimedOut | WatcherEvent::AnswerIncomplete | WatcherEvent::PollDropped,
             ) => Polling(PollMode::Immediate),
             (Idle(_), WatcherEvent::Restored) => Idle(PollMode::Immediate),
             (Idle(mode), WatcherEvent::Started)
-            | (Paused(mode), WatcherEvent::PauseEnded | WatcherEvent::ServiceMoved) => {
-                Polling(mode)
-            }
+            | (Paused(mode), WatcherEvent::PauseEnded | WatcherEvent::PollDropped) => Polling(mode),
             (unchanged, _) => unchanged,
         }
     }
--- a/src/transport/endpoints/watcher_state/tests.rs
+++ b/src/transport/endpoints/watcher_state/tests.rs
@@ -2,8 +2,8 @@
 
 use super::PollMode::{Immediate, Long, Short};
 use super::WatcherEvent::{
-    AnswerIncomplete, Answered, Disabled, DispatcherGone, PauseEnded, Refused, Restored,
-    ServiceMoved, Started, TimedOut,
+    AnswerIncomplete, Answered, Disabled, DispatcherGone, PauseEnded, PollDropped, Refused,
+    Restored, Started, TimedOut,
 };
 use super::WatcherState::{Idle, Paused, Polling, Stopped};
 use super::{WatcherEvent, WatcherState};
@@ -14,7 +14,7 @@
     AnswerIncomplete,
     Started,
     Disabled,
-    ServiceMoved,
+    PollDropped,
     Answered,
     Refused,
     TimedOut,
@@ -44,11 +44,11 @@
         (Polling(_), Refused) if is_pushed => Some(Paused(Short)),
         (Polling(_), Refused) => Some(Idle(Short)),
         (Idle(_), Restored) => Some(Idle(Immediate)),
-        (Polling(_), ServiceMoved) => Some(Polling(Immediate)),
+        (Polling(_), PollDropped) => Some(Polling(Immediate)),
         (Polling(Long | Short), TimedOut | AnswerIncomplete) => Some(Polling(Immediate)),
         (Polling(Immediate), TimedOut | AnswerIncomplete) if is_pushed => Some(Paused(Immediate)),
         (Polling(Immediate), TimedOut | AnswerIncomplete) => Some(Idle(Immediate)),
-        (Paused(mode), PauseEnded | ServiceMoved) => Some(Polling(mode)),
+        (Paused(mode), PauseEnded | PollDropped) => Some(Polling(mode)),
         (_, DispatcherGone) => Some(Stopped),
         _ => None,
     }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -17,6 +17,7 @@
 pub mod node_phase;
 pub mod replica;
 pub mod socket;
+pub mod turn_clock;
 
 use crate::protocol::http::HttpCodec;
 use std::time::Duration;
--- a/src/transport/replica/attempts.rs
+++ b/src/transport/replica/attempts.rs
@@ -18,6 +18,7 @@
 use crate::routing::{DurationMicros, MonotonicMicros};
 use crate::transport::clock::Clock;
 use crate::transport::messages::{DispatcherMessage, RequestPayload, StartedStream, StreamChunk};
+use crate::transport::turn_clock::TurnClock;
 use crate::transport::TransportLimits;
 use bytes::{Buf, Bytes};
 use futures_util::{SinkExt, StreamExt};
@@ -51,6 +52,8 @@
     cross_zone_traffic: Rc<RefCell<CrossZoneTraffic>>,
     /// Whether the endpoint list by which attempts were placed is still known to be current.
     is_list_confirmed: Rc<Cell<bool>>,
+    /// Tells whether the dispatcher knows how much time has passed.
+    turn_clock: TurnClock,
     clock: Clock,
 }
 
@@ -114,6 +117,7 @@
             sent_count: Rc::default(),
             cross_zone_traffic: Rc::default(),
             is_list_confirmed: Rc::new(Cell::new(true)),
+            turn_clock: TurnClock::default(),
             clock,
         }
     }
@@ -133,6 +137,11 @@
         self.is_list_confirmed.set(is_confirmed);
     }
 
+    /// The clock of the dispatcher's turns.
+    pub fn turn_clock(&self) -> &TurnClock {
+        &self.turn_clock
+    }
+
     /// What follows all streams.
     pub fn stream_monitor(&self) -> &StreamMonitor {
         &self.stream_monitor
@@ -219,7 +228,8 @@
     /// Whether an attempt may no longer begin: its replica may drain by now, and the node has not been told.
     fn is_outdated(&self, attempt: &AttemptRequest, now: MonotonicMicros) -> bool {
         let is_late = attempt.begin_by.is_some_and(|begin_by| now > begin_by);
-        is_late && !self.is_list_confirmed.get()
+        let is_doubtful = is_late && !self.is_list_confirmed.get();
+        is_doubtful || self.turn_clock.was_suspended(now)
     }
 
     fn count_sent(&self, cross_zone_group: Option<RequestGroup>) {
