Let a node's time to return from a rolling restart run from its last heard answer

Cause: each query that a node got restarted its time to return by itself, also one that came late, while its answers were lost. The coordinator counted it as back from its last heard answer on and let another node leave.

Change: the number of a query to a node grows only once its last answer was heard, so a new number tells the node which of its answers was; its time runs from when it gave that one. An unanswered query is repeated under its number. A command to leave that comes after that time is dropped. The messages keep their form.

--- a/crates/coordination/src/rolling_restart/coordinator.rs
+++ b/crates/coordination/src/rolling_restart/coordinator.rs
@@ -17,12 +17,30 @@
     progress: NodeProgress,
     /// When the node last answered; before any answer, when the coordinator began.
     heard_at: Micros,
-    /// The round that it answered; 0 before any.
-    round: u64,
+    /// The number of the last query to the node; 0 before any.
+    asked_round: u64,
+    /// The last query that it answered; 0 before any.
+    heard_round: u64,
     /// Since when it is out and idle.
     idle_since: Option<Micros>,
 }
 
+impl NodeState {
+    /// Whether the node has answered the last query.
+    fn is_heard(&self) -> bool {
+        self.heard_round > 0 && self.heard_round == self.asked_round
+    }
+}
+
+/// A query to one node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeQuery {
+    /// The node's name.
+    pub node: String,
+    /// The message to it.
+    pub message: RestartMessage,
+}
+
 /// A message to one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeCommand {
@@ -64,8 +82,6 @@
     lease_servers: Vec<String>,
     /// How wrong any clock may run, in parts in a million.
     drift_ppm: u32,
-    /// The number of the last query.
-    round: u64,
     nodes: BTreeMap<String, NodeState>,
 }
 
@@ -81,7 +97,8 @@
         let unheard = NodeState {
             progress: NodeProgress::Out,
             heard_at: now,
-            round: 0,
+            asked_round: 0,
+            heard_round: 0,
             idle_since: None,
         };
         let names = order.nodes.iter();
@@ -91,7 +108,6 @@
             order,
             lease_servers,
             drift_ppm,
-            round: 0,
             nodes,
         }
     }
@@ -106,13 +122,26 @@
         &self.order
     }
 
-    /// The next query, to every node of the order.
-    pub fn next_query(&mut self) -> RestartMessage {
-        self.round += 1;
-        RestartMessage::Query {
-            query: self.query_id(),
-            order: self.order.id.clone(),
+    /// The next query to each node of the order. A node that has not answered its last query gets the same one again: a
+    /// new number tells it that its last answer was heard, and only then does its time to come back start anew. Were it to
+    /// start with each query, a node whose answers are lost would stay out for longer than it is counted as out.
+    pub fn next_queries(&mut self) -> Vec<NodeQuery> {
+        let mut queries = Vec::new();
+        for (name, node) in &mut self.nodes {
+            if node.heard_round == node.asked_round {
+                node.asked_round += 1;
+            }
+            let query = QueryId {
+                epoch: self.epoch,
+                round: node.asked_round,
+            };
+            let order = self.order.id.clone();
+            queries.push(NodeQuery {
+                node: name.clone(),
+                message: RestartMessage::Query { query, order },
+            });
         }
+        queries
     }
 
     /// Takes a node's answer.
@@ -120,7 +149,7 @@
         let Some(known) = self.nodes.get_mut(node) else {
             return;
         };
-        if report.query.epoch != self.epoch || report.query.round <= known.round {
+        if report.query.epoch != self.epoch || report.query.round <= known.heard_round {
             return;
         }
         let is_out_and_idle = report.progress == NodeProgress::Out && report.is_idle;
@@ -132,8 +161,9 @@
         *known = NodeState {
             progress: report.progress,
             heard_at: now,
-            round: report.query.round,
+            heard_round: report.query.round,
             idle_since,
+            ..*known
         };
     }
 
@@ -147,13 +177,13 @@
     pub fn progress(&self, now: Micros) -> RestartProgress {
         let mut progress = RestartProgress::default();
         for node in self.nodes.values() {
-            if node.round > 0 && node.progress == NodeProgress::Done {
+            if node.heard_round > 0 && node.progress == NodeProgress::Done {
                 progress.done += 1;
             }
-            if node.round > 0 && node.progress == NodeProgress::Waiting {
+            if node.heard_round > 0 && node.progress == NodeProgress::Waiting {
                 progress.waiting += 1;
             }
-            if node.round != self.round && !self.may_be_out(node, now) {
+            if !node.is_heard() && !self.may_be_out(node, now) {
                 progress.unreachable += 1;
             }
         }
@@ -163,13 +193,14 @@
     /// Whether no node waits or is out any more, as far as any is heard of.
     pub fn is_finished(&self, now: Micros) -> bool {
         let is_open = |node: &NodeState| {
-            if node.round == self.round {
+            if node.is_heard() {
                 node.progress != NodeProgress::Done
             } else {
                 self.may_be_out(node, now)
             }
         };
-        self.round > 0 && !self.nodes.values().any(is_open)
+        let has_asked = self.nodes.values().any(|node| node.asked_round > 0);
+        has_asked && !self.nodes.values().any(is_open)
     }
 
     /// Which nodes to tell what. To be called once the answers to the last query have had time; each node that is told
@@ -186,7 +217,7 @@
                 node.heard_at = now;
                 node.idle_since = None;
             }
-            commands.push(self.command(name, RestartCommand::Leave));
+            commands.extend(self.command(&name, RestartCommand::Leave));
         }
         commands
     }
@@ -198,9 +229,9 @@
             let has_stayed_out = node
                 .idle_since
                 .is_some_and(|since| now >= since.saturating_add(self.order.stay_out));
-            let is_out = node.round == self.round && node.progress == NodeProgress::Out;
+            let is_out = node.is_heard() && node.progress == NodeProgress::Out;
             if is_out && has_stayed_out {
-                commands.push(self.command(name.clone(), RestartCommand::Return));
+                commands.extend(self.command(name, RestartCommand::Return));
             }
         }
         commands
@@ -213,7 +244,7 @@
         let mut next: Option<(bool, &String)> = None;
         for (name, node) in &self.nodes {
             let is_lease_server = self.lease_servers.contains(name);
-            let waits = node.round == self.round && node.progress == NodeProgress::Waiting;
+            let waits = node.is_heard() && node.progress == NodeProgress::Waiting;
             if !waits || (is_lease_server && !may_take_lease_server) {
                 continue;
             }
@@ -229,7 +260,7 @@
     fn serving_lease_servers(&self) -> usize {
         let is_serving = |name: &&String| {
             let node = self.nodes.get(*name);
-            node.is_some_and(|node| node.round == self.round && node.progress != NodeProgress::Out)
+            node.is_some_and(|node| node.is_heard() && node.progress != NodeProgress::Out)
         };
         self.lease_servers.iter().filter(is_serving).count()
     }
@@ -239,22 +270,20 @@
         let return_after = self.order.return_after;
         let drift_margin =
             return_after / MILLION * DRIFT_MARGIN_FACTOR * Micros::from(self.drift_ppm);
-        let is_certainly_in = node.round == self.round && node.progress != NodeProgress::Out;
+        let is_certainly_in = node.is_heard() && node.progress != NodeProgress::Out;
         !is_certainly_in && now < node.heard_at.saturating_add(return_after + drift_margin)
     }
 
-    fn command(&self, node: String, command: RestartCommand) -> NodeCommand {
-        NodeCommand {
-            node,
-            query: self.query_id(),
+    /// A command to a node that has answered its last query.
+    fn command(&self, name: &str, command: RestartCommand) -> Option<NodeCommand> {
+        let round = self.nodes.get(name)?.heard_round;
+        Some(NodeCommand {
+            node: name.to_string(),
+            query: QueryId {
+                epoch: self.epoch,
+                round,
+            },
             command,
-        }
-    }
-
-    fn query_id(&self) -> QueryId {
-        QueryId {
-            epoch: self.epoch,
-            round: self.round,
-        }
+        })
     }
 }
--- a/crates/coordination/src/rolling_restart/messages.rs
+++ b/crates/coordination/src/rolling_restart/messages.rs
@@ -50,12 +50,14 @@
     }
 }
 
-/// Names a query of a coordinator: its epoch, and how many queries it has sent under it. The newest is the highest.
+/// Names a query of a coordinator to one node: its epoch, and how many answers of the node it has waited for under it. The
+/// newest is the highest; a query that was not answered is repeated under the same name.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct QueryId {
     /// The coordinator's epoch.
     pub epoch: Epoch,
-    /// The number of the query under that epoch, from 1.
+    /// The number of the query to that node under that epoch, from 1. A higher one tells the node that its answer to the one
+    /// before was heard.
     pub round: u64,
 }
 
--- a/crates/coordination/src/rolling_restart/mod.rs
+++ b/crates/coordination/src/rolling_restart/mod.rs
@@ -11,19 +11,20 @@
 //! - A command is carried out only if it belongs to the last query that the node has answered: one that comes late, or
 //!   from a coordinator of an earlier epoch, is dropped.
 //! - A majority of the lease servers stays in service while the nodes among them take their turns; they go last.
-//! - A node that is out and hears from no coordinator comes back by itself.
+//! - A node that is out comes back by itself once no coordinator can have heard of it for the time that the order states.
+//!   Queries that it gets do not put that off: they may be late, and its answers lost.
 //!
 //! # Who calls what
 //!
 //! The driver of each node owns one [`RestartParticipant`], and one [`RestartCoordinator`] for as long as it holds the
-//! lease and an order is open. It sends the query of [`RestartCoordinator::next_query`], waits for answers, checks that
+//! lease and an order is open. It sends the queries of [`RestartCoordinator::next_queries`], waits for answers, checks that
 //! it still holds the lease, and sends what [`RestartCoordinator::next_commands`] returns.
 
 mod coordinator;
 mod messages;
 mod participant;
 
-pub use coordinator::{NodeCommand, RestartCoordinator, RestartProgress};
+pub use coordinator::{NodeCommand, NodeQuery, RestartCoordinator, RestartProgress};
 pub use messages::{
     NodeProgress, NodeReport, OrderId, QueryId, RestartCommand, RestartMessage, RestartOrder,
 };
--- a/crates/coordination/src/rolling_restart/participant.rs
+++ b/crates/coordination/src/rolling_restart/participant.rs
@@ -15,7 +15,10 @@
     is_completed: bool,
     /// The newest query that was answered.
     last_query: QueryId,
+    /// When it was answered first.
     last_query_at: Micros,
+    /// When the newest answer was given of which the coordinator is known to have heard.
+    heard_at: Micros,
 }
 
 impl RestartParticipant {
@@ -64,8 +67,15 @@
         if query < self.last_query {
             return None;
         }
-        self.last_query = query;
-        self.last_query_at = now;
+        if query > self.last_query {
+            let is_same_coordinator = query.epoch == self.last_query.epoch;
+            if is_same_coordinator {
+                // It asks anew since it has heard the last answer. How late this query is does not matter.
+                self.heard_at = self.last_query_at;
+            }
+            self.last_query = query;
+            self.last_query_at = now;
+        }
         let answer = match &self.order {
             Some(known) if known.id == *order => RestartMessage::Report(NodeReport {
                 query,
@@ -78,14 +88,19 @@
         Some(answer)
     }
 
-    /// Takes a command; whether to carry it out. The time to come back by itself runs from the query before it, since a
-    /// command may be late.
-    pub fn handle_command(&mut self, query: QueryId, command: RestartCommand) -> bool {
+    /// Takes a command; whether to carry it out. The time to come back by itself runs from the answer before it, since a
+    /// command may be late; one that comes when that time is over is not carried out.
+    pub fn handle_command(&mut self, query: QueryId, command: RestartCommand, now: Micros) -> bool {
         let is_out = self.progress == NodeProgress::Out;
         let leaves = command == RestartCommand::Leave;
         if query != self.last_query || is_out == leaves {
             return false;
         }
+        // The command follows the answer, so the coordinator has heard it.
+        self.heard_at = self.last_query_at;
+        if leaves && self.is_forgotten(now) {
+            return false;
+        }
         self.progress = match command {
             RestartCommand::Leave => NodeProgress::Out,
             RestartCommand::Return => NodeProgress::Done,
@@ -95,12 +110,16 @@
 
     /// Whether to come back by itself now, since no coordinator was heard of for too long.
     pub fn returns_by_itself(&mut self, now: Micros) -> bool {
-        let return_after = self.order.as_ref().map_or(0, |order| order.return_after);
-        let is_forgotten = self.progress == NodeProgress::Out
-            && now >= self.last_query_at.saturating_add(return_after);
-        if is_forgotten {
+        let returns = self.progress == NodeProgress::Out && self.is_forgotten(now);
+        if returns {
             self.progress = NodeProgress::Done;
         }
-        is_forgotten
+        returns
+    }
+
+    /// Whether the coordinator has heard of this node for the last time so long ago that it counts it as back.
+    fn is_forgotten(&self, now: Micros) -> bool {
+        let return_after = self.order.as_ref().map_or(0, |order| order.return_after);
+        now >= self.heard_at.saturating_add(return_after)
     }
 }
--- a/crates/coordination/tests/rolling_restart.rs
+++ b/crates/coordination/tests/rolling_restart.rs
@@ -126,7 +126,7 @@
                 participant.handle_query(*query, order, true, now)
             }
             RestartMessage::Command { query, command } => {
-                participant.handle_command(*query, *command);
+                participant.handle_command(*query, *command, now);
                 None
             }
             _ => None,
@@ -259,9 +259,9 @@
     /// One query with its answers, and the commands that follow.
     fn round(&mut self, mut next_delivery: impl FnMut() -> Delivery) {
         let now = self.now;
-        let query = self.coordinator.next_query();
-        for node in 0..NODES {
-            let answer = self.fleet.send(node, query.clone(), next_delivery(), now);
+        for query in self.coordinator.next_queries() {
+            let node = node_index(&query.node);
+            let answer = self.fleet.send(node, query.message, next_delivery(), now);
             if let Some(RestartMessage::Report(report)) = answer {
                 self.coordinator
                     .handle_report(&node_name(node), &report, now);
@@ -310,21 +310,21 @@
     let mut participant = participant_with_order();
     participant.handle_query(query(1, 1), &order_id(), true, 0);
     participant.handle_query(query(1, 2), &order_id(), true, 1);
-    assert!(!participant.handle_command(query(1, 1), RestartCommand::Leave));
-    assert!(participant.handle_command(query(1, 2), RestartCommand::Leave));
+    assert!(!participant.handle_command(query(1, 1), RestartCommand::Leave, 2));
+    assert!(participant.handle_command(query(1, 2), RestartCommand::Leave, 2));
     assert!(participant.progress() == NodeProgress::Out);
     // A coordinator of an earlier epoch wakes up.
     participant.handle_query(query(2, 1), &order_id(), true, 3);
     let answer = participant.handle_query(query(1, 3), &order_id(), true, 4);
     assert!(answer.is_none());
-    assert!(!participant.handle_command(query(1, 3), RestartCommand::Return));
+    assert!(!participant.handle_command(query(1, 3), RestartCommand::Return, 4));
 }
 
 #[test]
 fn node_that_is_out_and_forgotten_returns_by_itself() {
     let mut participant = participant_with_order();
     participant.handle_query(query(1, 1), &order_id(), true, 0);
-    assert!(participant.handle_command(query(1, 1), RestartCommand::Leave));
+    assert!(participant.handle_command(query(1, 1), RestartCommand::Leave, 2));
     assert!(!participant.returns_by_itself(RETURN_AFTER - 1));
     assert!(participant.returns_by_itself(RETURN_AFTER));
     assert!(participant.progress() == NodeProgress::Done);
--- a/src/transport/coordination/rolling_restart.rs
+++ b/src/transport/coordination/rolling_restart.rs
@@ -5,8 +5,8 @@
 use crate::transport::evacuation::{evacuate, rejoin};
 use poppykeel_coordination::envelope::MessageBody;
 use poppykeel_coordination::rolling_restart::{
-    NodeCommand, NodeReport, OrderId, QueryId, RestartCommand, RestartCoordinator, RestartMessage,
-    RestartOrder, RestartParticipant,
+    NodeCommand, NodeQuery, NodeReport, OrderId, QueryId, RestartCommand, RestartCoordinator,
+    RestartMessage, RestartOrder, RestartParticipant,
 };
 use poppykeel_coordination::Epoch;
 use poppykeel_coordination::Micros;
@@ -115,11 +115,12 @@
     }
 
     fn handle_restart_command(&self, sender: &str, query: QueryId, command: RestartCommand) {
+        let now = self.clock.now();
         let is_current = self
             .restart
             .participant
             .borrow_mut()
-            .handle_command(query, command);
+            .handle_command(query, command, now);
         if !is_current {
             return;
         }
@@ -181,8 +182,9 @@
 
     /// One query to all nodes of the order, and the commands that follow from the answers.
     async fn coordinate(self: &Rc<Self>, epoch: Epoch, order: &RestartOrder) {
-        let query = self.next_query(epoch, order);
-        self.send_restart_message_to_all(&order.nodes, &query);
+        for query in self.next_queries(epoch, order) {
+            self.send_restart_message(query.node, query.message);
+        }
         tokio::time::sleep(STEP).await;
         // The look before the acts: under this epoch or not at all.
         if self.held_epoch(LEASE_TASK) != Some(epoch) {
@@ -215,15 +217,15 @@
         }
     }
 
-    /// The next query of the coordinator; a new one begins where there is none for this epoch and order.
-    fn next_query(&self, epoch: Epoch, order: &RestartOrder) -> RestartMessage {
+    /// The next queries of the coordinator; a new one begins where there is none for this epoch and order.
+    fn next_queries(&self, epoch: Epoch, order: &RestartOrder) -> Vec<NodeQuery> {
         let now = self.clock.now();
         let mut current = self.restart.coordinator.borrow_mut();
         match &mut *current {
             Some(coordinator)
                 if coordinator.epoch() == epoch && coordinator.order().id == order.id =>
             {
-                coordinator.next_query()
+                coordinator.next_queries()
             }
             other => {
                 tracing::info!(
@@ -235,7 +237,7 @@
                 let drift_ppm = self.settings.node.drift_ppm;
                 let coordinator =
                     RestartCoordinator::new(epoch, order.clone(), lease_servers, drift_ppm, now);
-                other.insert(coordinator).next_query()
+                other.insert(coordinator).next_queries()
             }
         }
     }
