Soak a node under drawn faults, signals and clients on open connections, failing

It shows a fault: requests that waited in the kernel while the process was suspended count as new, so that replicas are told more time than their clients have left.

--- /dev/null
+++ b/tests/soak/clients.rs
@@ -0,0 +1,196 @@
+//! Clients that keep their connections and send one request after the other; some leave early, and a crowd stays idle.
+
+use super::plan::Plan;
+use super::records::{ClientEnd, ClientRecord, RecordsRef};
+use oorandom::Rand64;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// A response may come this much after the deadline; it only earns nothing then.
+const ANSWER_ALLOWANCE: Duration = Duration::from_millis(500);
+/// A client waits this much longer still, to tell a late response from none.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// One request in this many is abandoned by its client.
+const LEAVING: f64 = 0.1;
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+const STATUS_DIGITS: std::ops::Range<usize> = 9..12;
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+struct Client<'a> {
+    plan: &'a Plan,
+    records: RecordsRef,
+    node: SocketAddr,
+    rng: Rand64,
+}
+
+/// A response as far as it came.
+struct Response {
+    bytes: Vec<u8>,
+    /// The connection ended.
+    has_ended: bool,
+}
+
+/// Sends requests until the run ends.
+pub fn run_client(plan: &Plan, records: RecordsRef, node: SocketAddr, number: usize) {
+    let seed = u128::from(plan.seed) << 32 | number as u128;
+    let mut client = Client {
+        plan,
+        records,
+        node,
+        rng: Rand64::new(seed),
+    };
+    let mut connection = None;
+    while client.records.clock.now() < plan.ends {
+        let pause = client.rng.rand_float() * 0.06;
+        std::thread::sleep(Duration::from_secs_f64(pause));
+        connection = client.send_request(connection);
+    }
+}
+
+/// Opens idle connections and keeps them until the run ends.
+pub fn run_crowd(plan: &Plan, records: &RecordsRef, node: SocketAddr) {
+    let mut held = Vec::new();
+    while records.clock.now() < plan.ends {
+        if held.len() < plan.crowd {
+            held.extend(TcpStream::connect_timeout(&node, RETRY_PAUSE).ok());
+        } else {
+            std::thread::sleep(RETRY_PAUSE);
+        }
+    }
+}
+
+impl Client<'_> {
+    /// Sends one request, on the given connection or on a new one; returns the connection if it can be used again.
+    fn send_request(&mut self, kept: Option<TcpStream>) -> Option<TcpStream> {
+        let is_first = kept.is_none();
+        let stream = kept.or_else(|| TcpStream::connect_timeout(&self.node, RETRY_PAUSE).ok());
+        let Some(mut stream) = stream else {
+            std::thread::sleep(RETRY_PAUSE);
+            return None;
+        };
+        let _ = stream.set_nodelay(true);
+        let deadline = self.draw_deadline();
+        let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let request = self.request_text(&id, deadline);
+        let sent_at = self.records.clock.now();
+        let is_sent = stream.write_all(request.as_bytes()).is_ok();
+        if is_sent && self.rng.rand_float() < LEAVING {
+            std::thread::sleep(Duration::from_secs_f64(self.rng.rand_float() * 0.3));
+            drop(stream);
+            self.record(id, sent_at, deadline, ClientEnd::Left, is_first);
+            return None;
+        }
+        let response = read_response(&mut stream, deadline + ANSWER_ALLOWANCE + PATIENCE);
+        let end = response.end();
+        self.record(id, sent_at, deadline, end, is_first);
+        let is_reusable = matches!(end, ClientEnd::Answered(_)) && !response.closes_connection();
+        is_reusable.then_some(stream)
+    }
+
+    fn draw_deadline(&mut self) -> Duration {
+        self.plan
+            .max_deadline
+            .mul_f64(0.3 + 0.7 * self.rng.rand_float())
+    }
+
+    fn request_text(&mut self, id: &str, deadline: Duration) -> String {
+        let session = self.rng.rand_range(1..40);
+        let deadline = deadline.as_secs_f64();
+        format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: chat\r\nReq-Key: {session:016x}\r\n\
+             Req-Deadline: {deadline:.3}\r\nContent-Length: 0\r\n\r\n"
+        )
+    }
+
+    fn record(
+        &self,
+        id: String,
+        sent_at: Duration,
+        deadline: Duration,
+        end: ClientEnd,
+        is_first: bool,
+    ) {
+        let record = ClientRecord {
+            id,
+            sent_at,
+            ended_at: self.records.clock.now(),
+            deadline,
+            end,
+            is_first,
+        };
+        self.records.all.clients.lock().unwrap().push(record);
+    }
+}
+
+fn read_response(stream: &mut TcpStream, patience: Duration) -> Response {
+    let start = std::time::Instant::now();
+    let mut response = Response {
+        bytes: Vec::new(),
+        has_ended: false,
+    };
+    let mut buffer = [0; 4096];
+    while !response.is_complete() {
+        let left = patience.saturating_sub(start.elapsed());
+        if left.is_zero() {
+            return response;
+        }
+        // Zero would mean no time limit.
+        stream.set_read_timeout(Some(left)).unwrap();
+        match stream.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(length) => response.bytes.extend_from_slice(&buffer[..length]),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return response;
+            }
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(_) => break,
+        }
+    }
+    response.has_ended = !response.is_complete();
+    response
+}
+
+impl Response {
+    fn text(&self) -> String {
+        String::from_utf8_lossy(&self.bytes).into_owned()
+    }
+
+    fn is_complete(&self) -> bool {
+        let text = self.text();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            return false;
+        };
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("Content-Length: "))
+            .and_then(|value| value.parse::<usize>().ok());
+        match length {
+            Some(length) => body.len() >= length,
+            None => body.ends_with("0\r\n\r\n"),
+        }
+    }
+
+    fn closes_connection(&self) -> bool {
+        self.text()
+            .lines()
+            .any(|line| line.eq_ignore_ascii_case("connection: close"))
+    }
+
+    fn end(&self) -> ClientEnd {
+        if self.is_complete() {
+            let text = self.text();
+            let status = text
+                .get(STATUS_DIGITS)
+                .and_then(|digits| digits.parse().ok());
+            return ClientEnd::Answered(status.unwrap_or(0));
+        }
+        match (self.bytes.is_empty(), self.has_ended) {
+            (true, true) => ClientEnd::Closed,
+            (true, false) => ClientEnd::Unanswered,
+            (false, _) => ClientEnd::Broken,
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak/replicas.rs
@@ -0,0 +1,107 @@
+//! Replicas that serve requests and probes, drain when they are told to, or hang.
+
+use super::records::{RecordsRef, ReplicaRecord};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const EVENT: &str = "9\r\ndata: 1\n\n\r\n";
+const STREAM_END: &str = "0\r\n\r\n";
+const PROBE_ANSWERED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+const UNAVAILABLE: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+const DECLINED: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+const TIME_TO_FIRST_TOKEN: Duration = Duration::from_millis(20);
+/// A replica that hangs keeps a request for this long.
+const HANG: Duration = Duration::from_secs(30);
+
+/// A replica on a thread of its own.
+pub struct Replica {
+    pub addr: SocketAddr,
+    is_draining: Arc<AtomicBool>,
+}
+
+impl Replica {
+    pub fn start(index: usize, hangs: bool, records: RecordsRef) -> Replica {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let is_draining = Arc::new(AtomicBool::new(false));
+        let draining = is_draining.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (draining, records) = (draining.clone(), records.clone());
+                std::thread::spawn(move || serve(index, hangs, stream, &draining, &records));
+            }
+        });
+        Replica { addr, is_draining }
+    }
+
+    /// Declines requests and probes from now on.
+    pub fn drain(&self) {
+        self.is_draining.store(true, Ordering::SeqCst);
+    }
+}
+
+fn serve(
+    index: usize,
+    hangs: bool,
+    mut stream: TcpStream,
+    draining: &AtomicBool,
+    records: &RecordsRef,
+) {
+    // A peer that has gone ends the connection, and with it this thread.
+    let _ = stream.set_nodelay(true);
+    while let Some(head) = read_head(&mut stream) {
+        let received_at = records.clock.now();
+        let is_declined = draining.load(Ordering::SeqCst);
+        if head.starts_with("GET ") {
+            let answer = [PROBE_ANSWERED, UNAVAILABLE][usize::from(is_declined)];
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+            continue;
+        }
+        let deadline = header(&head, "Req-Deadline").and_then(|text| text.parse().ok());
+        records.all.replicas.lock().unwrap().push(ReplicaRecord {
+            id: header(&head, "Req-Id").unwrap_or_default(),
+            replica: index,
+            received_at,
+            deadline: Duration::from_secs_f64(deadline.unwrap_or(0.0)),
+            is_declined,
+        });
+        if answer(&mut stream, is_declined, hangs).is_err() {
+            return;
+        }
+    }
+}
+
+fn answer(stream: &mut TcpStream, is_declined: bool, hangs: bool) -> std::io::Result<()> {
+    if is_declined {
+        return stream.write_all(DECLINED.as_bytes());
+    }
+    std::thread::sleep(if hangs { HANG } else { TIME_TO_FIRST_TOKEN });
+    stream.write_all(STREAM_HEAD.as_bytes())?;
+    stream.write_all(EVENT.as_bytes())?;
+    stream.write_all(STREAM_END.as_bytes())
+}
+
+/// Reads a message without a body up to the end of its head; `None` at the end of the connection.
+pub fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).ok()
+}
+
+/// The value of a field of a head.
+pub fn header(head: &str, name: &str) -> Option<String> {
+    let line = head.lines().find(|line| line.starts_with(name))?;
+    line.split_once(": ").map(|(_, value)| value.to_string())
+}
--- /dev/null
+++ b/tests/soak/run.rs
@@ -0,0 +1,255 @@
+//! One run: starts the parties, carries out the plan, and holds what they recorded against the rules.
+
+use super::checker;
+use super::clients::{run_client, run_crowd};
+use super::discovery::{list, Discovery};
+use super::node::SoakNode;
+use super::plan::{Plan, PlannedAct, ProcessAct, REPLICA_COUNT};
+use super::records::{Drain, Records, RecordsRef, RunClock};
+use super::replicas::Replica;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const FIRST_VERSION: u64 = 1;
+/// From the end of a process to the next start.
+const RESTART_PAUSE: Duration = Duration::from_millis(500);
+/// The platform kills a process at the earliest after its longest deadline, of which it counts this at most ...
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// ... and this.
+const KILL_ALLOWANCE: Duration = Duration::from_millis(700);
+/// Within what the platform allows a process to be held up.
+const HOLD_UP: Duration = Duration::from_millis(120);
+const SUSPENSION: Duration = Duration::from_millis(1500);
+const SIGNAL_GAP: Duration = Duration::from_millis(30);
+const TICK: Duration = Duration::from_millis(5);
+
+/// What a run came to.
+pub struct Report {
+    pub summary: String,
+    pub violations: Vec<String>,
+    pub log: String,
+}
+
+struct Run {
+    plan: Arc<Plan>,
+    records: RecordsRef,
+    replicas: Vec<Replica>,
+    discovery: Discovery,
+    node: SoakNode,
+    /// Which of the two addresses of discovery the configuration names.
+    discovery_index: usize,
+}
+
+/// Plays the run of a seed.
+pub fn play(seed: u64) -> Report {
+    let plan = Arc::new(Plan::draw(seed));
+    let records = RecordsRef {
+        all: Arc::new(Records::default()),
+        clock: RunClock::start(),
+    };
+    let mut run = Run::new(plan.clone(), records.clone());
+    run.start_node();
+    let node_addr = run.node.addr;
+    std::thread::scope(|scope| {
+        for number in 0..plan.client_threads {
+            let (plan, records) = (&plan, records.clone());
+            scope.spawn(move || run_client(plan, records, node_addr, number));
+        }
+        scope.spawn(|| run_crowd(&plan, &records, node_addr));
+        scope.spawn(|| measure_lateness(&plan, &records));
+        scope.spawn(|| drain_replicas(&plan, &records, &run.replicas));
+        for act in &plan.acts {
+            records.clock.sleep_until(act.at);
+            Run::perform(
+                &mut run.node,
+                *act,
+                &mut run.discovery_index,
+                &Context {
+                    plan: &plan,
+                    records: &records,
+                    replicas: &run.replicas,
+                    discovery: &run.discovery,
+                },
+            );
+        }
+        records.clock.sleep_until(plan.ends);
+    });
+    run.node.kill();
+    run.report()
+}
+
+/// What the acts on a process need of the other parties.
+struct Context<'a> {
+    plan: &'a Plan,
+    records: &'a RecordsRef,
+    replicas: &'a [Replica],
+    discovery: &'a Discovery,
+}
+
+impl Context<'_> {
+    /// Writes the configuration with the list that the node last had.
+    fn write_config(&self, node: &SoakNode, discovery_index: usize) -> u64 {
+        let answers = self.records.all.answers.lock().unwrap().clone();
+        let had = answers.iter().filter(|answer| answer.is_complete);
+        let version = had
+            .map(|answer| answer.version)
+            .max()
+            .unwrap_or(FIRST_VERSION);
+        let drains = self.records.all.drains.lock().unwrap().clone();
+        let known = list(&addrs(self.replicas), &drains, 0, version);
+        node.write_config(&known, self.discovery.addrs[discovery_index]);
+        version
+    }
+
+    fn restart(&self, node: &mut SoakNode, discovery_index: usize) {
+        std::thread::sleep(RESTART_PAUSE);
+        let version = self.write_config(node, discovery_index);
+        node.start(version);
+    }
+}
+
+fn addrs(replicas: &[Replica]) -> Vec<SocketAddr> {
+    replicas.iter().map(|replica| replica.addr).collect()
+}
+
+impl Run {
+    fn new(plan: Arc<Plan>, records: RecordsRef) -> Run {
+        let replicas: Vec<Replica> = (0..REPLICA_COUNT)
+            .map(|index| {
+                let hangs = plan.has_hung_replica && index + 1 == REPLICA_COUNT;
+                Replica::start(index, hangs, records.clone())
+            })
+            .collect();
+        let discovery = Discovery::start(plan.clone(), addrs(&replicas), records.clone());
+        let node = SoakNode::new(plan.clone(), records.clone());
+        Run {
+            plan,
+            records,
+            replicas,
+            discovery,
+            node,
+            discovery_index: 0,
+        }
+    }
+
+    fn start_node(&mut self) {
+        let context = Context {
+            plan: &self.plan,
+            records: &self.records,
+            replicas: &self.replicas,
+            discovery: &self.discovery,
+        };
+        let version = context.write_config(&self.node, self.discovery_index);
+        self.node.start(version);
+    }
+
+    fn perform(
+        node: &mut SoakNode,
+        planned: PlannedAct,
+        discovery_index: &mut usize,
+        context: &Context<'_>,
+    ) {
+        match planned.act {
+            ProcessAct::Kill => {
+                node.kill();
+                context.restart(node, *discovery_index);
+            }
+            ProcessAct::Terminate | ProcessAct::TerminateInSeries => {
+                let ordered_at = context.records.clock.now();
+                node.terminate();
+                if planned.act == ProcessAct::TerminateInSeries {
+                    std::thread::sleep(SIGNAL_GAP);
+                    node.signal("-HUP");
+                    std::thread::sleep(SIGNAL_GAP);
+                    node.terminate();
+                }
+                let counted_deadline = context.plan.max_deadline.min(MAX_COUNTED_DEADLINE);
+                let kill_at = ordered_at + counted_deadline + KILL_ALLOWANCE;
+                context.records.clock.sleep_until(kill_at);
+                node.kill();
+                context.restart(node, *discovery_index);
+            }
+            ProcessAct::Reload => {
+                *discovery_index = 1 - *discovery_index;
+                context.write_config(node, *discovery_index);
+                for _ in 0..3 {
+                    node.signal("-HUP");
+                    std::thread::sleep(SIGNAL_GAP);
+                }
+            }
+            ProcessAct::HoldUp => suspend(node, HOLD_UP),
+            ProcessAct::Suspend => {
+                let began_at = context.records.clock.now();
+                suspend(node, SUSPENSION);
+                let ended_at = context.records.clock.now();
+                let suspensions = &context.records.all.suspensions;
+                suspensions.lock().unwrap().push(began_at..ended_at);
+            }
+        }
+    }
+
+    fn report(self) -> Report {
+        let violations = checker::check(&self.plan, &self.records.all);
+        let clients = self.records.all.clients.lock().unwrap();
+        let processes = self.records.all.processes.lock().unwrap().len();
+        let lateness_ms = self.records.all.max_lateness.lock().unwrap().as_millis();
+        let answered = clients
+            .iter()
+            .filter(|record| record.end == super::records::ClientEnd::Answered(200));
+        let summary = format!(
+            "{} requests, {} served, {} processes, {} drains, probes {}, {}, crowd {}, lateness {lateness_ms} ms, {} violations",
+            clients.len(),
+            answered.count(),
+            processes,
+            self.plan.drains.len(),
+            self.plan.allows_probes,
+            self.plan.semantics,
+            self.plan.crowd,
+            violations.len(),
+        );
+        let log = format!(
+            "plan: {:#?}\ndrains: {:?}\nprocesses: {:?}\n{}",
+            self.plan,
+            self.records.all.drains.lock().unwrap(),
+            self.records.all.processes.lock().unwrap(),
+            self.node.log.lock().unwrap().join("\n")
+        );
+        Report {
+            summary,
+            violations,
+            log,
+        }
+    }
+}
+
+fn suspend(node: &SoakNode, span: Duration) {
+    node.signal("-STOP");
+    std::thread::sleep(span);
+    node.signal("-CONT");
+}
+
+/// Makes replicas drain as planned; discovery tells of each from the same moment on.
+fn drain_replicas(plan: &Plan, records: &RecordsRef, replicas: &[Replica]) {
+    for (replica, at) in plan.drains.iter().enumerate() {
+        records.clock.sleep_until(*at);
+        replicas[replica].drain();
+        let mut drains = records.all.drains.lock().unwrap();
+        drains.push(Drain {
+            version: FIRST_VERSION + 1 + replica as u64,
+            replica,
+            at: records.clock.now(),
+        });
+    }
+}
+
+/// Measures by how much a thread of the test itself is late: its records are late by as much.
+fn measure_lateness(plan: &Plan, records: &RecordsRef) {
+    let mut worst = Duration::ZERO;
+    while records.clock.now() < plan.ends {
+        let wanted = records.clock.now() + TICK;
+        std::thread::sleep(TICK);
+        worst = worst.max(records.clock.now().saturating_sub(wanted));
+    }
+    *records.all.max_lateness.lock().unwrap() = worst;
+}
