Count the time of requests that waited in the kernel while the process stood still

Cause: a request's time ran from when it was read. One that came while the process was suspended had waited as long as the suspension, and replicas were told up to 1.3 s more than its client had left.

--- a/src/transport/dispatcher/requests.rs
+++ b/src/transport/dispatcher/requests.rs
@@ -3,7 +3,7 @@
 use super::clients::WaitingClient;
 use super::{send_reply, Dispatcher};
 use crate::routing::cross_zone::RequestGroup;
-use crate::routing::{AttemptId, DurationMicros, MonotonicMicros, RouterEvent};
+use crate::routing::{seconds, AttemptId, DurationMicros, MonotonicMicros, RouterEvent};
 use crate::transport::messages::{ClientRequest, ClientResponse, RequestOwner, StartedStream};
 use poppykeel_scheduler::{AttemptOutcome, LoadReport, RequestId};
 use std::rc::Rc;
@@ -18,11 +18,14 @@
         client_request: ClientRequest,
     ) {
         let ClientRequest {
-            request,
+            mut request,
             payload,
             response,
             owner,
         } = client_request;
+        // The client's time has run since it sent the request, also while the process stood still.
+        let backlog_age = self.replica_client.turn_clock().backlog_age(now);
+        request.time_left -= seconds(backlog_age);
         if self.router.is_active(request.id) {
             send_reply(response, ClientResponse::Duplicate);
             return;
--- a/src/transport/turn_clock.rs
+++ b/src/transport/turn_clock.rs
@@ -11,11 +11,22 @@
 /// The platform allows for a process that is held up for 0.15 s; more than this is taken for a suspension.
 const MAX_TURN_GAP: DurationMicros = 250_000;
 
+/// What waited in the kernel during a suspension has been read this long after it.
+const BACKLOG_TIME: DurationMicros = 50_000;
+
+/// A suspension that the dispatcher has noticed.
+#[derive(Clone, Copy, Debug)]
+struct Suspension {
+    noticed_at: MonotonicMicros,
+    span: DurationMicros,
+}
+
 /// When the dispatcher had its last turn. Clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct TurnClock {
     /// `None` before the first turn.
     last_turn_at: Rc<Cell<Option<MonotonicMicros>>>,
+    last_suspension: Rc<Cell<Option<Suspension>>>,
 }
 
 impl TurnClock {
@@ -30,8 +41,25 @@
         now.saturating_sub(last_turn_at)
     }
 
+    /// How long bytes that are read now may have waited in the kernel while the process stood still. None but for a moment
+    /// after a suspension.
+    pub fn backlog_age(&self, now: MonotonicMicros) -> DurationMicros {
+        if self.was_suspended(now) {
+            return self.time_since_turn(now);
+        }
+        let last = self.last_suspension.get();
+        last.filter(|last| now < last.noticed_at.saturating_add(BACKLOG_TIME))
+            .map_or(0, |last| last.span)
+    }
+
     /// Notes a turn.
     pub fn record_turn(&self, now: MonotonicMicros) {
+        if self.was_suspended(now) {
+            self.last_suspension.set(Some(Suspension {
+                noticed_at: now,
+                span: self.time_since_turn(now),
+            }));
+        }
         self.last_turn_at.set(Some(now));
     }
 }
