--- /dev/null
+++ b/tests/wall_clock.rs
@@ -0,0 +1,90 @@
+//! A wall clock that steps under a running node must not make a replica that has just started look warm.
+//!
+//! The story: discovery tells when a replica started in Unix time, and the node maps that to its monotonic clock by its own
+//! wall clock. Once that has stepped by an hour, a replica that started a second ago counts as an hour old, gets the share
+//! of a warm one from every node at once and falls over. Evidence: the start times that the directory gives the scheduler.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use poppykeel::program::config::{NodeConfig, Overrides};
+use poppykeel::protocol::discovery::parse_endpoint_list;
+use poppykeel::routing::directory::EndpointDirectory;
+use poppykeel::routing::ClockReading;
+use poppykeel_endpoints::SourceUpdate;
+use poppykeel_scheduler::Seconds;
+use std::rc::Rc;
+
+const UNIX_START_US: i64 = 1_700_000_000_000_000;
+const SECOND_US: i64 = 1_000_000;
+const HOUR_S: i64 = 3_600;
+/// The replica is told of one second after its start.
+const AGE_S: i64 = 1;
+const TOLD_AT_S: i64 = 10;
+
+fn directory() -> EndpointDirectory {
+    let text = include_str!("exchanges/config.json")
+        .replace("REPLICA", "127.0.0.1:1")
+        .replace("DISCOVERY", "127.0.0.1:2");
+    let config = NodeConfig::read(&text, Overrides::default()).unwrap();
+    let sources = poppykeel::program::config::operator::OperatorConfig::default();
+    EndpointDirectory::new(Rc::new(config.settings), sources.endpoint_source_settings())
+}
+
+/// A list with one replica, which started at this time.
+fn list(started_us: i64) -> SourceUpdate {
+    let text = format!(
+        r#"{{"version":2,"full":true,"servers":[{{"id":"s-1","addr":"127.0.0.1:1","zone":"a","kind":"k","cell":0,
+            "state":"up","weight":1.0,"started_ms":{}}}]}}"#,
+        started_us / 1000
+    );
+    parse_endpoint_list(&serde_json::from_str(&text).unwrap())
+        .unwrap()
+        .into_source_update()
+}
+
+/// A reading `seconds` after the process's start, by a wall clock that is wrong by `step_s`.
+fn reading(seconds: i64, step_s: i64) -> ClockReading {
+    ClockReading {
+        monotonic: (seconds * SECOND_US) as u64,
+        unix_us: UNIX_START_US + (seconds + step_s) * SECOND_US,
+    }
+}
+
+/// When a replica that is told of 10 s after the process's start counts as started, where the wall clock was wrong by
+/// `before_s` at first and by `after_s` then.
+fn started_at(age_s: i64, before_s: i64, after_s: i64) -> Seconds {
+    let mut directory = directory();
+    let empty = SourceUpdate::FullList(Vec::new());
+    directory.apply_update("list", empty, reading(0, before_s));
+    let started_us = UNIX_START_US + (TOLD_AT_S - age_s) * SECOND_US;
+    let changes = directory.apply_update("list", list(started_us), reading(TOLD_AT_S, after_s));
+    changes[0].endpoint.started_at.unwrap()
+}
+
+#[test]
+fn replica_that_has_just_started_counts_as_new_though_the_wall_clock_steps() {
+    let expected = (TOLD_AT_S - AGE_S) as Seconds;
+    for (before_s, after_s) in [
+        (0, 0),
+        (0, HOUR_S),
+        (0, -HOUR_S),
+        (HOUR_S, 0),
+        (-HOUR_S, 0),
+        (0, 5),
+        (0, -5),
+    ] {
+        let started_at = started_at(AGE_S, before_s, after_s);
+        assert!(
+            started_at >= expected - 1e-3,
+            "steps from {before_s} to {after_s} s: {started_at}"
+        );
+    }
+}
+
+#[test]
+fn replica_that_runs_for_long_counts_as_old_though_the_wall_clock_steps() {
+    for (before_s, after_s) in [(0, 0), (0, HOUR_S), (0, -HOUR_S)] {
+        let started_at = started_at(10 * HOUR_S, before_s, after_s);
+        assert!(started_at < -(HOUR_S as Seconds), "{started_at}");
+    }
+}
