Map start times of replicas by the younger of two clocks after a step of the wall clock

Cause: the age of a replica was taken by the node's wall clock at the time of the list. After a step of an hour a replica that started a second ago counted as an hour old and got the share of a warm one.

Change: the directory keeps the first reading of both clocks; of the age by the wall clock now and the age by the first reading and the time since, the smaller plausible one counts. A start keeps the time that it was given first, as before.

--- a/src/routing/directory.rs
+++ b/src/routing/directory.rs
@@ -17,6 +17,8 @@
 
 const MICROS_PER_MILLI: i64 = 1_000;
 const MICROS_PER_SECOND: f64 = 1e6;
+/// The clocks of two machines differ by less than this.
+const MAX_CLOCK_SKEW_US: i64 = 1_000_000;
 
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 /// The offset basis of FNV-1a, for the upper half of an id.
@@ -62,6 +64,8 @@
     registry: EndpointRegistry,
     weight_unit: Option<f64>,
     listed: BTreeMap<ReplicaId, KnownReplica>,
+    /// Both clocks as they were first read. The wall clock may step later.
+    first_reading: Option<ClockReading>,
 }
 
 /// The scheduler's id of a replica. The scheduler ranks replicas by this address to choose a session's affinity replica, and
@@ -90,6 +94,7 @@
             registry: EndpointRegistry::new(sources.registry),
             weight_unit: sources.weight_unit,
             listed: BTreeMap::new(),
+            first_reading: None,
         }
     }
 
@@ -162,6 +167,7 @@
         servers: Vec<RegisteredEndpoint>,
         at: ClockReading,
     ) -> Vec<EndpointChange> {
+        self.first_reading.get_or_insert(at);
         let mut changes = Vec::new();
         for server in servers {
             if let Some(endpoint) = self.apply_change(&server, at) {
@@ -182,7 +188,7 @@
         // One start keeps one time: mapped anew with each list it would seem to be a later start.
         let started_at = match known.filter(|known| known.started_ms == started_ms) {
             Some(known) => known.endpoint.started_at,
-            None => (started_ms > 0).then(|| start_time(started_ms, at)),
+            None => (started_ms > 0).then(|| self.start_time(started_ms, at)),
         };
         let endpoint = self.endpoint(id, server, started_at);
         let addr = server.listing.addr;
@@ -203,6 +209,18 @@
         Some(endpoint)
     }
 
+    /// Maps a start time in milliseconds of Unix time to the monotonic clock. Where the wall clock has stepped since it was
+    /// first read, nobody knows which of its times was right: the replica counts as the younger one of both that can be, for
+    /// a warm replica bears being spared and a cold one falls over.
+    fn start_time(&self, started_ms: i64, at: ClockReading) -> Seconds {
+        let first = self.first_reading.unwrap_or(at);
+        let ages = [at.unix_us, unix_by_first_reading(first, at)]
+            .map(|unix_us| unix_us.saturating_sub(started_ms.saturating_mul(MICROS_PER_MILLI)));
+        let plausible = ages.into_iter().filter(|age| *age >= -MAX_CLOCK_SKEW_US);
+        let age_us = plausible.min().unwrap_or(ages[0]);
+        seconds(at.monotonic) - age_us as f64 / MICROS_PER_SECOND
+    }
+
     fn endpoint(
         &self,
         id: ReplicaId,
@@ -244,10 +262,10 @@
         .unwrap_or(known_names.len())
 }
 
-/// Maps a start time in milliseconds of Unix time to the monotonic clock, by its age at this reading.
-fn start_time(started_ms: i64, at: ClockReading) -> Seconds {
-    let age_us = at
+/// Unix time now, in microseconds, if the wall clock had gone on from its first reading without a step.
+fn unix_by_first_reading(first: ClockReading, at: ClockReading) -> i64 {
+    let elapsed = at.monotonic.saturating_sub(first.monotonic);
+    first
         .unix_us
-        .saturating_sub(started_ms.saturating_mul(MICROS_PER_MILLI));
-    seconds(at.monotonic) - age_us as f64 / MICROS_PER_SECOND
+        .saturating_add(i64::try_from(elapsed).unwrap_or(i64::MAX))
 }
