--- /dev/null
+++ b/crates/scheduler/tests/endpoint_evidence.rs
@@ -0,0 +1,226 @@
+//! Attempts while the endpoint list may be out of date: each follows evidence from its replica.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod support;
+
+use poppykeel_scheduler::{
+    Action, AttemptOutcome, EndpointListStatus, Event, ReplicaId, RequestId, SchedulerSettings,
+};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use support::{
+    answered_requests, incoming_request, probes, settings, started_attempts, SchedulerHarness,
+    TIMER_INTERVAL,
+};
+
+const REPLICAS: usize = 4;
+
+fn harness_with(settings: SchedulerSettings, status: EndpointListStatus) -> SchedulerHarness {
+    let mut harness = SchedulerHarness::new(settings, REPLICAS);
+    harness.handle(Event::EndpointListStatusChanged(status));
+    harness
+}
+
+fn unconfirmed() -> SchedulerHarness {
+    harness_with(settings(), EndpointListStatus::Unconfirmed)
+}
+
+fn arrive(harness: &mut SchedulerHarness, number: u64) -> Vec<Action> {
+    harness.handle(Event::RequestArrived(incoming_request(number, 0, 0, 5.0)));
+    harness.last_actions.clone()
+}
+
+fn end_probe(
+    harness: &mut SchedulerHarness,
+    replica: ReplicaId,
+    outcome: AttemptOutcome,
+) -> Vec<Action> {
+    harness.handle(Event::ProbeEnded {
+        replica,
+        outcome,
+        report: None,
+    });
+    harness.last_actions.clone()
+}
+
+#[test]
+fn request_waits_for_the_probe_of_its_replica() {
+    let mut harness = unconfirmed();
+    let actions = arrive(&mut harness, 1);
+    assert_eq!(started_attempts(&actions), []);
+    let probed = probes(&actions);
+    assert_eq!(probed.len(), 1);
+    let actions = end_probe(&mut harness, probed[0], AttemptOutcome::Completed);
+    let started = started_attempts(&actions);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].replica, probed[0]);
+}
+
+#[test]
+fn replica_that_declines_its_probe_is_passed_over() {
+    for outcome in [
+        AttemptOutcome::ServerError,
+        AttemptOutcome::TimedOut,
+        AttemptOutcome::ConnectFailed,
+    ] {
+        let mut harness = unconfirmed();
+        let mut declined = probes(&arrive(&mut harness, 1));
+        for _ in 1..REPLICAS {
+            let next = probes(&end_probe(&mut harness, *declined.last().unwrap(), outcome));
+            assert_eq!(next.len(), 1, "{outcome:?}");
+            assert!(!declined.contains(&next[0]), "{outcome:?}");
+            declined.extend(next);
+        }
+        let last = *declined.last().unwrap();
+        let actions = end_probe(&mut harness, last, AttemptOutcome::Completed);
+        assert_eq!(started_attempts(&actions)[0].replica, last, "{outcome:?}");
+    }
+}
+
+#[test]
+fn requests_share_one_probe_and_evidence_expires_within_the_grace() {
+    let mut harness = unconfirmed();
+    let probed = probes(&arrive(&mut harness, 1));
+    end_probe(&mut harness, probed[0], AttemptOutcome::Completed);
+    harness.now += settings().lifecycle.drain_grace;
+    let actions = arrive(&mut harness, 2);
+    assert_eq!(started_attempts(&actions), [], "the evidence is too old");
+    assert_eq!(probes(&actions).len(), 1);
+}
+
+#[test]
+fn confirmed_list_lets_waiting_requests_go() {
+    let mut harness = unconfirmed();
+    arrive(&mut harness, 1);
+    harness.handle(Event::EndpointListStatusChanged(
+        EndpointListStatus::Confirmed,
+    ));
+    assert_eq!(started_attempts(&harness.last_actions).len(), 1);
+}
+
+#[test]
+fn without_probes_requests_wait_for_the_first_poll_only() {
+    let mut settings = settings();
+    settings.limits.allows_probes = false;
+    let mut harness = harness_with(settings.clone(), EndpointListStatus::Restored);
+    assert_eq!(started_attempts(&arrive(&mut harness, 1)), []);
+    harness.handle(Event::EndpointListFailed);
+    assert_eq!(started_attempts(&harness.last_actions).len(), 1);
+
+    // Nobody waits for a poll without end.
+    let mut harness = harness_with(settings.clone(), EndpointListStatus::Restored);
+    harness.now += 2.9;
+    assert_eq!(started_attempts(&arrive(&mut harness, 1)), []);
+    harness.now += 0.1;
+    harness.handle(Event::TimerFired);
+    assert_eq!(started_attempts(&harness.last_actions).len(), 1);
+
+    let mut harness = harness_with(settings, EndpointListStatus::Unconfirmed);
+    assert_eq!(started_attempts(&arrive(&mut harness, 1)).len(), 1);
+}
+
+#[test]
+fn request_whose_replicas_all_decline_gets_its_final_answer() {
+    let mut harness = unconfirmed();
+    let mut actions = arrive(&mut harness, 1);
+    let mut answered = Vec::new();
+    while harness.now < 106.0 && answered.is_empty() {
+        for replica in probes(&actions) {
+            end_probe(&mut harness, replica, AttemptOutcome::ServerError);
+        }
+        harness.now += TIMER_INTERVAL;
+        harness.handle(Event::TimerFired);
+        actions = harness.last_actions.clone();
+        assert_eq!(started_attempts(&actions), []);
+        answered = answered_requests(&actions);
+    }
+    assert_eq!(answered, [1]);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive,
+    ProbesEnd(bool),
+    Status(EndpointListStatus),
+    Wait(f64),
+    ClientLeaves(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let status = prop_oneof![
+        Just(EndpointListStatus::Confirmed),
+        Just(EndpointListStatus::Unconfirmed),
+        Just(EndpointListStatus::Restored),
+    ];
+    prop_oneof![
+        4 => Just(Step::Arrive),
+        4 => any::<bool>().prop_map(Step::ProbesEnd),
+        1 => status.prop_map(Step::Status),
+        3 => (0.0_f64..0.4).prop_map(Step::Wait),
+        1 => (1_u64..40).prop_map(Step::ClientLeaves),
+    ]
+}
+
+proptest! {
+    /// While the list is not confirmed, each attempt goes to a replica whose last ended probe was answered well and was sent
+    /// within half of the grace.
+    #[test]
+    fn attempts_follow_recent_evidence(steps in proptest::collection::vec(step(), 1..120)) {
+        let mut harness = unconfirmed();
+        let max_age = settings().lifecycle.drain_grace / 2.0 + 1e-9;
+        let mut is_confirmed = false;
+        let mut request = 0;
+        // When each probe in flight was sent, and of each replica the last probe that was answered well.
+        let mut in_flight: Vec<(ReplicaId, f64)> = Vec::new();
+        let mut accepted: BTreeMap<ReplicaId, f64> = BTreeMap::new();
+        for step in steps {
+            let mut events = Vec::new();
+            match step {
+                Step::Arrive => {
+                    request += 1;
+                    events.push(Event::RequestArrived(incoming_request(request, 0, 0, 5.0)));
+                }
+                Step::ProbesEnd(is_accepted) => {
+                    for (replica, sent_at) in std::mem::take(&mut in_flight) {
+                        let outcome = if is_accepted {
+                            accepted.insert(replica, sent_at);
+                            AttemptOutcome::Completed
+                        } else {
+                            accepted.remove(&replica);
+                            AttemptOutcome::ServerError
+                        };
+                        events.push(Event::ProbeEnded { replica, outcome, report: None });
+                    }
+                }
+                Step::Status(status) => {
+                    is_confirmed = status == EndpointListStatus::Confirmed;
+                    events.push(Event::EndpointListStatusChanged(status));
+                }
+                Step::Wait(span) => {
+                    harness.now += span;
+                    events.push(Event::TimerFired);
+                }
+                Step::ClientLeaves(number) => {
+                    events.push(Event::ClientDisconnected(RequestId(number)));
+                }
+            }
+            for event in events {
+                harness.handle(event);
+                let now = harness.now;
+                let actions = harness.last_actions.clone();
+                in_flight.extend(probes(&actions).into_iter().map(|replica| (replica, now)));
+                if is_confirmed {
+                    continue;
+                }
+                for attempt in started_attempts(&actions) {
+                    let evidence = accepted.get(&attempt.replica);
+                    prop_assert!(
+                        evidence.is_some_and(|sent_at| now - sent_at <= max_age),
+                        "{attempt:?} at {now} by {evidence:?}"
+                    );
+                }
+            }
+        }
+    }
+}
