--- a/tests/endpoint_watcher.rs
+++ b/tests/endpoint_watcher.rs
@@ -408,3 +408,26 @@
         );
     }
 }
+
+/// A service that has lost its count answers with changes of an earlier version: they do not belong on the list that the node
+/// has, which is doubtful then. The whole list is asked for.
+#[tokio::test]
+async fn changes_of_an_earlier_version_have_the_whole_list_asked_for() {
+    let test = async {
+        let (service, _watcher, mut messages) = start_watcher(Duration::from_secs(2), false).await;
+        let (mut stream, text) = next_poll(&service, None).await;
+        assert!(text.contains("since=41&"), "{text}");
+        answer(&mut stream, &NO_CHANGES.replace("41", "7")).await;
+        assert!(matches!(
+            next_message(&mut messages).await,
+            DispatcherMessage::EndpointListUnconfirmed
+        ));
+        let (mut stream, text) = next_poll(&service, None).await;
+        assert!(text.contains("since=0&timeout_ms=0 "), "{text}");
+        answer(&mut stream, &DRAIN.replace("false", "true")).await;
+        assert!(
+            matches!(next_update(&mut messages).await, SourceUpdate::FullList(list) if list.len() == 1)
+        );
+    };
+    LocalSet::new().run_until(test).await;
+}
