Ask for the whole list where a service answers with changes of an earlier version

Cause: the version that a node has was kept as the base of changes though the service had lost its count (or another one answered): its changes were applied to a list that they do not belong on, and the list counted as confirmed.

Change: such an answer makes the list doubtful, and the whole list is asked for at once.

--- a/src/protocol/discovery.rs
+++ b/src/protocol/discovery.rs
@@ -52,6 +52,11 @@
         self.version
     }
 
+    /// Whether these are changes of a list that is older than the one of this version: they do not belong on it.
+    pub fn is_older_change(&self, known_version: u64) -> bool {
+        !self.is_full_list && self.version < known_version
+    }
+
     /// The answer as the registry of endpoints takes it.
     pub fn into_source_update(self) -> SourceUpdate {
         if self.is_full_list {
--- a/src/transport/endpoints/discovery.rs
+++ b/src/transport/endpoints/discovery.rs
@@ -350,7 +350,17 @@
         if response.keeps_connection {
             *connection = Some(wire);
         }
-        response.parse()
+        let list = response.parse()?;
+        let known_version = shared.known_version.get();
+        if list.is_older_change(known_version) {
+            // The service counts anew, so nothing can be built on what the node has.
+            shared.known_version.set(0);
+            return Err(PollError::OlderChanges {
+                version: list.version(),
+                known_version,
+            });
+        }
+        Ok(list)
     }
 
     /// Reads an answer that has begun. Its list counts as delivered from its first byte on, so the node's own list is
--- a/src/transport/endpoints/poll.rs
+++ b/src/transport/endpoints/poll.rs
@@ -62,6 +62,14 @@
     /// The answer is not an endpoint list.
     #[error("{0}")]
     List(#[source] EndpointListError),
+    /// The answer holds changes of an earlier version than that of the list that the node has.
+    #[error("changes of version {version}, expected {known_version} or later")]
+    OlderChanges {
+        /// The version of the answer.
+        version: u64,
+        /// The version of the list that the node has.
+        known_version: u64,
+    },
     /// No complete answer came in time.
     #[error("no answer in time")]
     Timeout,
@@ -77,6 +85,7 @@
                 | PollError::Incomplete(_)
                 | PollError::Json(_)
                 | PollError::List(_)
+                | PollError::OlderChanges { .. }
         )
     }
 }
