--- a/tests/soak/discovery.rs
+++ b/tests/soak/discovery.rs
@@ -2,7 +2,7 @@
 
 use super::plan::{DiscoveryFault, Plan};
 use super::records::{DeafPoll, Drain, ListAnswer, RecordsRef};
-use super::replicas::read_head;
+use super::support::http_head::read_head;
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -19,6 +19,8 @@
 mod records;
 mod replicas;
 mod run;
+#[path = "../support/mod.rs"]
+mod support;
 
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/tests/soak/replicas.rs
+++ b/tests/soak/replicas.rs
@@ -1,7 +1,8 @@
 //! Replicas that serve requests and probes, drain when they are told to, or hang.
 
 use super::records::{RecordsRef, ReplicaRecord};
-use std::io::{Read, Write};
+use super::support::http_head::{header, read_head};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -88,20 +89,3 @@
     stream.write_all(EVENT.as_bytes())?;
     stream.write_all(STREAM_END.as_bytes())
 }
-
-/// Reads a message without a body up to the end of its head; `None` at the end of the connection.
-pub fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).ok()?;
-        head.push(byte[0]);
-    }
-    String::from_utf8(head).ok()
-}
-
-/// The value of a field of a head.
-pub fn header(head: &str, name: &str) -> Option<String> {
-    let line = head.lines().find(|line| line.starts_with(name))?;
-    line.split_once(": ").map(|(_, value)| value.to_string())
-}
--- a/tests/support/drainable_replica.rs
+++ b/tests/support/drainable_replica.rs
@@ -1,7 +1,8 @@
 //! A replica that serves requests and probes until a test makes it drain, and a discovery service that answers polls by a
 //! script. Both run on threads of their own, which end with the test's process.
 
-use std::io::{Read, Write};
+use super::http_head::{header, read_head};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -71,22 +72,6 @@
     }
 }
 
-/// Reads a request without a body up to the end of its head; `None` at the end of the connection.
-fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).ok()?;
-        head.push(byte[0]);
-    }
-    String::from_utf8(head).ok()
-}
-
-fn header(head: &str, name: &str) -> Option<String> {
-    let line = head.lines().find(|line| line.starts_with(name))?;
-    line.split_once(": ").map(|(_, value)| value.to_string())
-}
-
 /// What a scripted discovery service does with one poll.
 #[derive(Clone)]
 pub enum PollAnswer {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -13,6 +13,7 @@
 
 mod client;
 mod drainable_replica;
+pub mod http_head;
 mod late_listener;
 mod node;
 mod stub_replica;
