--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -21,6 +21,8 @@
 use std::time::{Duration, Instant};
 
 /// Only a hang runs into this.
+/// Longer than a process may be held up.
+const SUSPENSION: Duration = Duration::from_millis(400);
 const PATIENCE: Duration = Duration::from_secs(10);
 
 struct Node {
@@ -190,6 +192,11 @@
                 self.open.remove(party);
             }
             "is told to stop" => self.signal("-TERM"),
+            "is suspended" => {
+                self.signal("-STOP");
+                std::thread::sleep(SUSPENSION);
+                self.signal("-CONT");
+            }
             "is given a bad file" => {
                 std::fs::write(&self.config, "{}").unwrap();
                 self.signal("-HUP");
@@ -321,4 +328,4 @@
     served broken declined rejected gone chunked_request duplicate drained stopped pipelined reloaded spoilt at_fault
     pushed silent_agent gone_ahead garbage_behind begun_at_the_end
 }
-exchanges_with_operators! { srv srv_alone srv_moves }
+exchanges_with_operators! { srv srv_alone srv_moves srv_suspended }
