Leave a node without discovery alone after a suspension

Cause: after a suspension the list counted as restored although the node has no list of discovery that anybody would confirm.

--- a/src/transport/dispatcher/suspension.rs
+++ b/src/transport/dispatcher/suspension.rs
@@ -19,7 +19,7 @@
         let suspended_ms = turn_clock.time_since_turn(now) / MICROS_PER_MILLI;
         tracing::warn!(
             suspended_ms,
-            "the process stood still; the endpoint list is asked for anew"
+            "the process stood still; what it knew is of before"
         );
         for message in std::mem::take(batch) {
             match message {
@@ -27,7 +27,9 @@
                 other => batch.push(other),
             }
         }
-        self.set_endpoint_list_status(now, EndpointListStatus::Restored);
-        self.watch.poll_anew();
+        if self.watch.is_enabled() {
+            self.set_endpoint_list_status(now, EndpointListStatus::Restored);
+            self.watch.poll_anew();
+        }
     }
 }
--- a/src/transport/endpoints/discovery.rs
+++ b/src/transport/endpoints/discovery.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Whether the list is a source of this node.
+    pub fn is_enabled(&self) -> bool {
+        self.shared.is_enabled.get()
+    }
+
     /// Sets what the coordination grants of polls from now on.
     pub fn set_budget_grants(&self, grants: &BudgetGrants) {
         let poll_grants = grants
