--- a/tests/endpoint_watcher.rs
+++ b/tests/endpoint_watcher.rs
@@ -9,6 +9,7 @@
 use poppykeel::transport::messages::DispatcherMessage;
 use poppykeel::transport::TransportLimits;
 use poppykeel_endpoints::SourceUpdate;
+use poppykeel_scheduler::{BudgetGrant, BudgetGrants, BudgetKind};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -431,3 +432,33 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// A poll that waits for the fleet's budget leaves the list unwatched: it is doubtful until the poll after it is answered.
+#[tokio::test]
+async fn list_is_doubtful_while_the_next_poll_waits_for_the_budget() {
+    let test = async {
+        let (service, watcher, mut messages) = start_watcher(Duration::from_secs(2), false).await;
+        let (mut stream, _) = next_poll(&service, None).await;
+        let grant = BudgetGrant {
+            rate: 0.0,
+            burst: 0.0,
+            guaranteed_rate: 0.0,
+            guaranteed_burst: 0.0,
+            expires_at: f64::INFINITY,
+        };
+        watcher.set_budget_grants(&BudgetGrants::from([(BudgetKind::Discovery, grant)]));
+        answer(&mut stream, NO_CHANGES).await;
+        assert!(matches!(
+            next_message(&mut messages).await,
+            DispatcherMessage::EndpointUpdate { .. }
+        ));
+        assert!(matches!(
+            next_message(&mut messages).await,
+            DispatcherMessage::EndpointListUnconfirmed
+        ));
+        watcher.set_budget_grants(&BudgetGrants::new());
+        let (_stream, text) = next_poll(&service, Some(stream)).await;
+        assert!(text.contains("timeout_ms=50 "), "{text}");
+    };
+    LocalSet::new().run_until(test).await;
+}
