Take the list for doubtful while the next poll waits for the fleet's budget

Cause: between two polls nobody watches the list, and a poll may wait for its budget for as long as the fleet has none left. The list counted as confirmed meanwhile. After 0.2 s, within which discovery takes a poll as the same watch, it is doubtful.

--- a/src/transport/endpoints/discovery.rs
+++ b/src/transport/endpoints/discovery.rs
@@ -37,6 +37,9 @@
 /// How often the coordination's budget is looked at while it has no poll left for this node.
 const BUDGET_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Discovery takes a poll that comes within this time of its last answer as the same watch.
+const MAX_WATCH_GAP: Duration = Duration::from_millis(200);
+
 /// What one poll takes out of the budget.
 const UNITS_PER_POLL: f64 = 1.0;
 
@@ -315,17 +318,24 @@
         }
     }
 
-    /// Waits until the coordination's budget has a poll for this node, and takes it.
+    /// Waits until the coordination's budget has a poll for this node, and takes it. Nobody watches the list meanwhile.
     async fn wait_for_budget(&self) {
         let budget = &self.shared.poll_budget;
         budget
             .borrow_mut()
             .record_demand(BudgetKind::Discovery, UNITS_PER_POLL, POLL_WEIGHT);
+        let began_at = self.shared.clock.now();
+        let mut is_doubtful = false;
         loop {
             let now = seconds(self.shared.clock.now());
             if budget.borrow_mut().spend_unit(now, BudgetKind::Discovery) {
                 return;
             }
+            let unwatched = Duration::from_micros(self.shared.clock.now() - began_at);
+            if unwatched >= MAX_WATCH_GAP && !is_doubtful {
+                is_doubtful = true;
+                self.report_doubt().await;
+            }
             tokio::time::sleep(BUDGET_CHECK_INTERVAL).await;
         }
     }
