--- a/tests/endpoint_watcher.rs
+++ b/tests/endpoint_watcher.rs
@@ -3,118 +3,17 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod support;
+
 use poppykeel::program::config::{NodeConfig, Overrides};
-use poppykeel::transport::clock::Clock;
-use poppykeel::transport::endpoints::discovery::EndpointWatcher;
-use poppykeel::transport::messages::DispatcherMessage;
-use poppykeel::transport::TransportLimits;
 use poppykeel_endpoints::SourceUpdate;
-use poppykeel_scheduler::{BudgetGrant, BudgetGrants, BudgetKind};
-use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use support::watcher::{answer, next_poll, next_update, start_watcher, DRAIN, NO_CHANGES};
+use support::TEST_TIMEOUT;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
-/// The limit of every wait; only a hang runs into it.
-const TEST_TIMEOUT: Duration = Duration::from_secs(20);
-const NO_CHANGES: &str = r#"{"version":41,"full":false,"servers":[]}"#;
-const DRAIN: &str = r#"{
-  "version": 42,
-  "full": false,
-  "servers": [
-    {"id": "s-1", "addr": "127.0.0.1:1", "zone": "a", "kind": "k", "cell": 0, "state": "draining"}
-  ]
-}"#;
-
-/// The bounds of a node, with a short long poll and `slack` for the answer.
-fn bounds(slack: Duration) -> Rc<TransportLimits> {
-    let config = include_str!("exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
-    let config = NodeConfig::read(
-        &config.replace("DISCOVERY", "127.0.0.1:2"),
-        Overrides::default(),
-    )
-    .unwrap();
-    let watch = Duration::from_millis(50);
-    let retry_watch = Duration::from_millis(30);
-    Rc::new(TransportLimits {
-        long_poll_wait: watch,
-        long_poll_slack: slack,
-        short_poll_wait: retry_watch,
-        short_poll_slack: slack,
-        ..config.bounds
-    })
-}
-
-/// Takes the next poll, on this connection or on a new one. Returns the connection and the head of the request.
-async fn next_poll(service: &TcpListener, connection: Option<TcpStream>) -> (TcpStream, String) {
-    let poll = async {
-        let mut stream = match connection {
-            Some(stream) => stream,
-            None => service.accept().await.unwrap().0,
-        };
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            head.push(stream.read_u8().await.unwrap());
-        }
-        (stream, String::from_utf8(head).unwrap())
-    };
-    tokio::time::timeout(TEST_TIMEOUT, poll)
-        .await
-        .expect("the watcher polls")
-}
-
-async fn answer(stream: &mut TcpStream, body: &str) {
-    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-    stream.write_all((head + body).as_bytes()).await.unwrap();
-}
-
-/// The next update that the watcher sends to the dispatcher; that the list is doubtful is passed over.
-async fn next_update(messages: &mut mpsc::Receiver<DispatcherMessage>) -> SourceUpdate {
-    loop {
-        match next_message(messages).await {
-            DispatcherMessage::EndpointUpdate { update: told, .. } => return told,
-            DispatcherMessage::EndpointListUnconfirmed => {}
-            _ => panic!("something else was sent"),
-        }
-    }
-}
-
-async fn next_message(messages: &mut mpsc::Receiver<DispatcherMessage>) -> DispatcherMessage {
-    tokio::time::timeout(TEST_TIMEOUT, messages.recv())
-        .await
-        .expect("a message is sent")
-        .expect("the watcher runs")
-}
-
-/// A watcher of a service: the service, the watcher, and the messages that it sends to the dispatcher.
-async fn start_watcher(
-    slack: Duration,
-    is_pushed: bool,
-) -> (
-    TcpListener,
-    EndpointWatcher,
-    mpsc::Receiver<DispatcherMessage>,
-) {
-    let service = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let (dispatcher, messages) = mpsc::channel(16);
-    let watcher = EndpointWatcher::new(
-        service.local_addr().unwrap(),
-        bounds(slack),
-        dispatcher,
-        Clock::start(),
-    );
-    watcher.set_known_version(41);
-    let watcher = if is_pushed {
-        watcher.into_pushed()
-    } else {
-        watcher
-    };
-    watcher.start();
-    (service, watcher, messages)
-}
-
 /// Guards against a node that sends requests to draining endpoints because it waits, after the silence itself, until the
 /// scheduler starts the watcher again.
 #[tokio::test]
@@ -225,71 +124,6 @@
     LocalSet::new().run_until(test).await;
 }
 
-/// An answer that is cut, stalls or is no list may have held a drain, which counts as delivered: the list is doubtful, and
-/// the poll is repeated at once on a new connection, without a wait at the service.
-#[tokio::test]
-async fn incomplete_answer_makes_the_list_doubtful_and_is_polled_again_at_once() {
-    let incomplete = [
-        (true, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\nConnection: close\r\n\r\n{\"version\":42,\"full\""),
-        (true, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nno list\r\n"),
-        (false, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"version\":42"),
-        (false, "HTTP/1.1 200"),
-    ];
-    let test = async {
-        for (closes, bytes) in incomplete {
-            let (service, _watcher, mut messages) =
-                start_watcher(Duration::from_secs(2), false).await;
-            let (mut first, text) = next_poll(&service, None).await;
-            assert!(text.contains("since=41&timeout_ms=50 "), "{text}");
-            first.write_all(bytes.as_bytes()).await.unwrap();
-            let _open = (!closes).then_some(first);
-            assert!(
-                matches!(
-                    next_message(&mut messages).await,
-                    DispatcherMessage::EndpointListUnconfirmed
-                ),
-                "'{bytes}' is doubtful"
-            );
-            let (mut repeated, text) = next_poll(&service, None).await;
-            assert!(text.contains("since=41&timeout_ms=0 "), "{text}");
-            answer(&mut repeated, DRAIN).await;
-            assert!(
-                matches!(next_update(&mut messages).await, SourceUpdate::Changes(changes) if changes.len() == 1)
-            );
-            let (_repeated, text) = next_poll(&service, Some(repeated)).await;
-            assert!(text.contains("since=42&timeout_ms=50 "), "{text}");
-        }
-    };
-    LocalSet::new().run_until(test).await;
-}
-
-/// A restored list is confirmed by the first poll, which does not wait at the service.
-#[tokio::test]
-async fn first_poll_after_a_restored_list_does_not_wait_at_the_service() {
-    let test = async {
-        let service = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let (dispatcher, mut messages) = mpsc::channel(16);
-        let watcher = EndpointWatcher::new(
-            service.local_addr().unwrap(),
-            bounds(Duration::from_secs(2)),
-            dispatcher,
-            Clock::start(),
-        );
-        watcher.set_restored_version(41);
-        watcher.start();
-        let (mut stream, text) = next_poll(&service, None).await;
-        assert!(text.contains("since=41&timeout_ms=0 "), "{text}");
-        answer(&mut stream, NO_CHANGES).await;
-        assert_eq!(
-            next_update(&mut messages).await,
-            SourceUpdate::Changes(Vec::new())
-        );
-        let (_stream, text) = next_poll(&service, Some(stream)).await;
-        assert!(text.contains("since=41&timeout_ms=50 "), "{text}");
-    };
-    LocalSet::new().run_until(test).await;
-}
-
 /// Guards against rare forms of answers: no changes, a full list where changes were asked for, and a list of an earlier
 /// version, as a service has that has lost its count. The latest answer is what counts.
 #[tokio::test]
@@ -409,56 +243,3 @@
         );
     }
 }
-
-/// A service that has lost its count answers with changes of an earlier version: they do not belong on the list that the node
-/// has, which is doubtful then. The whole list is asked for.
-#[tokio::test]
-async fn changes_of_an_earlier_version_have_the_whole_list_asked_for() {
-    let test = async {
-        let (service, _watcher, mut messages) = start_watcher(Duration::from_secs(2), false).await;
-        let (mut stream, text) = next_poll(&service, None).await;
-        assert!(text.contains("since=41&"), "{text}");
-        answer(&mut stream, &NO_CHANGES.replace("41", "7")).await;
-        assert!(matches!(
-            next_message(&mut messages).await,
-            DispatcherMessage::EndpointListUnconfirmed
-        ));
-        let (mut stream, text) = next_poll(&service, None).await;
-        assert!(text.contains("since=0&timeout_ms=0 "), "{text}");
-        answer(&mut stream, &DRAIN.replace("false", "true")).await;
-        assert!(
-            matches!(next_update(&mut messages).await, SourceUpdate::FullList(list) if list.len() == 1)
-        );
-    };
-    LocalSet::new().run_until(test).await;
-}
-
-/// A poll that waits for the fleet's budget leaves the list unwatched: it is doubtful until the poll after it is answered.
-#[tokio::test]
-async fn list_is_doubtful_while_the_next_poll_waits_for_the_budget() {
-    let test = async {
-        let (service, watcher, mut messages) = start_watcher(Duration::from_secs(2), false).await;
-        let (mut stream, _) = next_poll(&service, None).await;
-        let grant = BudgetGrant {
-            rate: 0.0,
-            burst: 0.0,
-            guaranteed_rate: 0.0,
-            guaranteed_burst: 0.0,
-            expires_at: f64::INFINITY,
-        };
-        watcher.set_budget_grants(&BudgetGrants::from([(BudgetKind::Discovery, grant)]));
-        answer(&mut stream, NO_CHANGES).await;
-        assert!(matches!(
-            next_message(&mut messages).await,
-            DispatcherMessage::EndpointUpdate { .. }
-        ));
-        assert!(matches!(
-            next_message(&mut messages).await,
-            DispatcherMessage::EndpointListUnconfirmed
-        ));
-        watcher.set_budget_grants(&BudgetGrants::new());
-        let (_stream, text) = next_poll(&service, Some(stream)).await;
-        assert!(text.contains("timeout_ms=50 "), "{text}");
-    };
-    LocalSet::new().run_until(test).await;
-}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -17,6 +17,7 @@
 mod late_listener;
 mod node;
 mod stub_replica;
+pub mod watcher;
 
 pub use client::{
     read_response, read_some, request_text, run_clients, send_request, send_request_within,
--- /dev/null
+++ b/tests/support/watcher.rs
@@ -0,0 +1,113 @@
+//! The watcher of discovery's endpoint list, against a service that a test drives poll by poll.
+
+use super::TEST_TIMEOUT;
+use poppykeel::program::config::{NodeConfig, Overrides};
+use poppykeel::transport::clock::Clock;
+use poppykeel::transport::endpoints::discovery::EndpointWatcher;
+use poppykeel::transport::messages::DispatcherMessage;
+use poppykeel::transport::TransportLimits;
+use poppykeel_endpoints::SourceUpdate;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+pub const NO_CHANGES: &str = r#"{"version":41,"full":false,"servers":[]}"#;
+pub const DRAIN: &str = r#"{
+  "version": 42,
+  "full": false,
+  "servers": [
+    {"id": "s-1", "addr": "127.0.0.1:1", "zone": "a", "kind": "k", "cell": 0, "state": "draining"}
+  ]
+}"#;
+
+/// The bounds of a node, with a short long poll and `slack` for the answer.
+pub fn bounds(slack: Duration) -> Rc<TransportLimits> {
+    let config = include_str!("../exchanges/config.json").replace("REPLICA", "127.0.0.1:1");
+    let config = NodeConfig::read(
+        &config.replace("DISCOVERY", "127.0.0.1:2"),
+        Overrides::default(),
+    )
+    .unwrap();
+    let watch = Duration::from_millis(50);
+    let retry_watch = Duration::from_millis(30);
+    Rc::new(TransportLimits {
+        long_poll_wait: watch,
+        long_poll_slack: slack,
+        short_poll_wait: retry_watch,
+        short_poll_slack: slack,
+        ..config.bounds
+    })
+}
+
+/// Takes the next poll, on this connection or on a new one. Returns the connection and the head of the request.
+pub async fn next_poll(
+    service: &TcpListener,
+    connection: Option<TcpStream>,
+) -> (TcpStream, String) {
+    let poll = async {
+        let mut stream = match connection {
+            Some(stream) => stream,
+            None => service.accept().await.unwrap().0,
+        };
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await.unwrap());
+        }
+        (stream, String::from_utf8(head).unwrap())
+    };
+    tokio::time::timeout(TEST_TIMEOUT, poll)
+        .await
+        .expect("the watcher polls")
+}
+
+pub async fn answer(stream: &mut TcpStream, body: &str) {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all((head + body).as_bytes()).await.unwrap();
+}
+
+/// The next update that the watcher sends to the dispatcher; that the list is doubtful is passed over.
+pub async fn next_update(messages: &mut mpsc::Receiver<DispatcherMessage>) -> SourceUpdate {
+    loop {
+        match next_message(messages).await {
+            DispatcherMessage::EndpointUpdate { update: told, .. } => return told,
+            DispatcherMessage::EndpointListUnconfirmed => {}
+            _ => panic!("something else was sent"),
+        }
+    }
+}
+
+pub async fn next_message(messages: &mut mpsc::Receiver<DispatcherMessage>) -> DispatcherMessage {
+    tokio::time::timeout(TEST_TIMEOUT, messages.recv())
+        .await
+        .expect("a message is sent")
+        .expect("the watcher runs")
+}
+
+/// A watcher of a service: the service, the watcher, and the messages that it sends to the dispatcher.
+pub async fn start_watcher(
+    slack: Duration,
+    is_pushed: bool,
+) -> (
+    TcpListener,
+    EndpointWatcher,
+    mpsc::Receiver<DispatcherMessage>,
+) {
+    let service = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (dispatcher, messages) = mpsc::channel(16);
+    let watcher = EndpointWatcher::new(
+        service.local_addr().unwrap(),
+        bounds(slack),
+        dispatcher,
+        Clock::start(),
+    );
+    watcher.set_known_version(41);
+    let watcher = if is_pushed {
+        watcher.into_pushed()
+    } else {
+        watcher
+    };
+    watcher.start();
+    (service, watcher, messages)
+}
