--- a/tests/late_connections.rs
+++ b/tests/late_connections.rs
@@ -2,19 +2,20 @@
 //! left, the address of the replica, and whether it may be used at all.
 //!
 //! The story: an attempt is placed at once, its connection comes up a second later, and what is written then was decided
-//! before. Replicas were told more time than their clients had left, got requests meant for another address, and were sent
-//! requests after they had begun to drain. Evidence: the first bytes on a connection that is held in the state `SYN_SENT`
-//! until the decision is out of date.
+//! before. Replicas were told more time than their clients had left, and were sent requests after they had begun to drain.
+//! Evidence: the first bytes on a connection that is held in the state `SYN_SENT` until the decision is out of date.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod support;
 
+use poppykeel_stub_model_server::{ClientOutcome, ReplyScript, StubServers};
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 use support::{
-    entry, expect_no_bytes, expect_no_request, full_listener, is_connecting_to, request_text,
-    wait_until, DrainableReplica, Node, PollAnswer, ScriptedDiscovery,
+    accept_request, answer_poll, entry, expect_no_bytes, expect_no_request, full_listener,
+    is_connecting_to, read_response, request_text, send_request, wait_until, DrainableReplica,
+    Node, PollAnswer, ScriptedDiscovery,
 };
 
 const DEADLINE_S: f64 = 10.0;
@@ -136,3 +137,42 @@
     drop(queued);
     expect_no_bytes(&late);
 }
+
+/// Guards against a request that goes to a replica long after it began draining, since its connection was established late.
+#[test]
+fn connection_established_after_its_replica_began_draining_carries_no_request() {
+    let (late, queued) = full_listener();
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let replica = StubServers::start(vec![ReplyScript {
+        token_count: 3,
+        ..ReplyScript::default()
+    }])
+    .unwrap();
+    let addr = late.local_addr().unwrap();
+    let service = discovery.local_addr().unwrap().to_string();
+    let node = Node::builder("late")
+        .replicas(&[addr])
+        .semantics("unsafe")
+        .discovery(&service)
+        .start();
+    let mut poll = accept_request(&discovery);
+    // The list of the start is confirmed, so that the request goes out.
+    answer_poll(&mut poll, NO_CHANGES);
+    let (id, mut client) = send_request(&node, "late", 3);
+    wait_until("the connection", || is_connecting_to(addr.port()));
+    let list = [
+        entry("s-0", addr, "draining"),
+        entry("s-9", replica.addrs()[0], "up"),
+    ]
+    .join(",");
+    let body = format!(r#"{{"version":42,"full":false,"servers":[{list}]}}"#);
+    answer_poll(&mut poll, &body);
+    node.until_logged("Draining");
+    // From now on the connection can be established, with the kernel's next try.
+    drop(queued);
+    let response = std::thread::spawn(move || read_response(id, "late", 3, &mut client));
+    expect_no_bytes(&late);
+    // The request has never run there, so the remaining replica gets it, also where it may not be repeated.
+    assert_eq!(response.join().unwrap().outcome, ClientOutcome::Completed);
+    assert_eq!(replica.served_requests().len(), 1);
+}
--- a/tests/rare.rs
+++ b/tests/rare.rs
@@ -11,8 +11,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 use support::{
-    accept_request, entry, expect_no_bytes, full_listener, is_connecting_to, read_response,
-    read_some, request_text, send_request, wait_until, Node,
+    accept_request, answer_poll, entry, read_response, read_some, request_text, send_request,
+    wait_until, Node,
 };
 
 /// How long clients wait for the first token, in seconds.
@@ -36,16 +36,6 @@
     .unwrap()
 }
 
-/// Answers a poll of the endpoint list with this body.
-fn answer_poll(poll: &mut TcpStream, body: &str) {
-    let length = body.len();
-    write!(
-        poll,
-        "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"
-    )
-    .unwrap();
-}
-
 /// How many descriptors the node's process holds.
 fn descriptor_count(node: &Node) -> usize {
     let folder = format!("/proc/{}/fd", node.child.id());
@@ -90,41 +80,6 @@
     );
 }
 
-/// Guards against a request that goes to a replica long after it began draining, since its connection was established late.
-#[test]
-fn connection_established_after_its_replica_began_draining_carries_no_request() {
-    let (late, queued) = full_listener();
-    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
-    let replica = stub_server();
-    let addr = late.local_addr().unwrap();
-    let service = discovery.local_addr().unwrap().to_string();
-    let node = Node::builder("late")
-        .replicas(&[addr])
-        .semantics("unsafe")
-        .discovery(&service)
-        .start();
-    let mut poll = accept_request(&discovery);
-    // The list of the start is confirmed, so that the request goes out.
-    answer_poll(&mut poll, r#"{"version":41,"full":false,"servers":[]}"#);
-    let (id, mut client) = send_request(&node, "late", 3);
-    wait_until("the connection", || is_connecting_to(addr.port()));
-    let list = [
-        entry("s-0", addr, "draining"),
-        entry("s-9", replica.addrs()[0], "up"),
-    ]
-    .join(",");
-    let body = format!(r#"{{"version":42,"full":false,"servers":[{list}]}}"#);
-    answer_poll(&mut poll, &body);
-    node.until_logged("Draining");
-    // From now on the connection can be established, with the kernel's next try.
-    drop(queued);
-    let response = std::thread::spawn(move || read_response(id, "late", 3, &mut client));
-    expect_no_bytes(&late);
-    // The request has never run there, so the remaining replica gets it, also where it may not be repeated.
-    assert_eq!(response.join().unwrap().outcome, ClientOutcome::Completed);
-    assert_eq!(replica.served_requests().len(), 1);
-}
-
 /// Guards against a response whose end is lost with the reset of a close over unread bytes.
 #[test]
 fn last_response_arrives_complete_despite_unread_request_bytes() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -27,7 +27,7 @@
     entry, expect_no_bytes, expect_no_request, full_listener, is_connecting_to,
 };
 pub use node::{Node, NodeBuilder};
-pub use stub_replica::accept_request;
+pub use stub_replica::{accept_request, answer_poll};
 
 use std::time::{Duration, Instant};
 
--- a/tests/support/stub_replica.rs
+++ b/tests/support/stub_replica.rs
@@ -1,7 +1,7 @@
 //! A replica that a test drives byte by byte.
 
 use super::{wait_until, TEST_TIMEOUT};
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 
 /// Accepts the next connection, reads the head of its request, and returns the connection.
@@ -23,3 +23,13 @@
     }
     stream
 }
+
+/// Answers a poll of the endpoint list with this body.
+pub fn answer_poll(poll: &mut TcpStream, body: &str) {
+    let length = body.len();
+    write!(
+        poll,
+        "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+    .unwrap();
+}
