--- a/tests/stale_endpoints.rs
+++ b/tests/stale_endpoints.rs
@@ -173,3 +173,49 @@
         });
     }
 }
+
+/// An answer that came while the process was suspended is read before the list is asked for anew.
+#[test]
+fn suspended_node_heeds_the_answer_that_came_meanwhile() {
+    let (draining, serving) = (DrainableReplica::start(), DrainableReplica::start());
+    let discovery = ScriptedDiscovery::start(&[
+        PollAnswer::List(NO_CHANGES.into()),
+        PollAnswer::Held(drain_of(0, draining.addr)),
+        PollAnswer::Refused,
+    ]);
+    let replicas = [draining.addr, serving.addr];
+    let node = node_of("answered-meanwhile", &discovery, &replicas).start();
+    node.until_logged("endpoint list confirmed");
+    wait_until("the watch", || discovery.poll_count() > 1);
+    node.signal("-STOP");
+    draining.drain();
+    discovery.release();
+    std::thread::sleep(LONGER_THAN_GRACE);
+    std::thread::scope(|scope| {
+        let clients =
+            scope.spawn(|| assert_drain_is_heeded(&node, &draining, "answered meanwhile"));
+        std::thread::sleep(Duration::from_millis(100));
+        node.signal("-CONT");
+        clients.join().unwrap();
+    });
+}
+
+/// A site that does not allow probes: after a part of an answer, which may have told of a drain, requests wait for the rest.
+#[test]
+fn node_without_probes_holds_requests_after_a_part_of_an_answer() {
+    let (draining, serving) = (DrainableReplica::start(), DrainableReplica::start());
+    let drain = drain_of(0, draining.addr);
+    let discovery = ScriptedDiscovery::start(&[
+        PollAnswer::List(NO_CHANGES.into()),
+        PollAnswer::HeldHalf(drain.clone()),
+        PollAnswer::Half(drain.clone()),
+        PollAnswer::List(drain),
+    ]);
+    let replicas = [draining.addr, serving.addr];
+    let node = node_of("part-held", &discovery, &replicas).start();
+    node.until_logged("endpoint list confirmed");
+    draining.drain();
+    discovery.release();
+    wait_until("the poll after the part", || discovery.poll_count() > 2);
+    assert_drain_is_heeded(&node, &draining, "part");
+}
