Heed answers that came during a suspension, and wait for the rest of an answer

Causes, all found by the soak: the poll that is dropped after a suspension was dropped with the answer on its connection; a node without probes went on by its last list after a part of an answer; a suspension before the dispatcher's first turn was not noticed, and of two in a row only the last counted; a request without any time left was started and then failed.

Changes: what has come on the connection is read before a poll is dropped, and is applied without confirming the list. After a part of an answer requests wait for the whole, for 3 s at most, where replicas cannot be probed. A request without time left is rejected at once.

--- a/crates/scheduler/src/endpoint_confirmation.rs
+++ b/crates/scheduler/src/endpoint_confirmation.rs
@@ -3,8 +3,9 @@
 //! A list is current while discovery has answered and is asked again. One that was restored from an earlier process, whose
 //! polls fail, or of which only a part has come may lack drains and removals of which the router already counts as notified.
 //! Where replicas may be probed, an attempt then goes only to a replica that has just answered a probe well: a draining
-//! replica declines its probes. Where they may not, requests wait for the end of the first poll after a start; later the last
-//! list is used, since without it an outage of discovery would be an outage of the whole service.
+//! replica declines its probes. Where they may not, requests wait for the end of the first poll after a start, and for a whole
+//! answer after a part of one; else the last list is used, since without it an outage of discovery would be an outage of the
+//! whole service.
 //!
 //! Invariant: while the list is not current, the first byte of each attempt follows evidence from the replica itself within
 //! the grace for draining. Whenever the replica has begun to drain since then, the attempt is within the grace. Half of the
@@ -24,8 +25,8 @@
 const DECLINE_LIFETIME: Seconds = 0.5;
 /// A replica that leaves a probe unanswered for this long is passed over.
 const PROBE_PATIENCE: Seconds = 0.1;
-/// Requests wait for the first poll for this long at most: by then clients prefer an answer by the restored list.
-const MAX_FIRST_POLL_WAIT: Seconds = 3.0;
+/// Requests wait for a poll for this long at most: by then clients prefer an answer by the list that there is.
+const MAX_POLL_WAIT: Seconds = 3.0;
 
 /// How long a replica's answer to a probe stands for a current list, by the grace for draining.
 pub(crate) fn evidence_lifetime(drain_grace: Seconds) -> Seconds {
@@ -49,7 +50,12 @@
         /// When it was restored.
         at: Seconds,
     },
-    /// It was current once, or may be: the last poll did not bring all of an answer.
+    /// A part of an answer has come, which may have told of a drain.
+    Incomplete {
+        /// When it came.
+        at: Seconds,
+    },
+    /// It was current once, or may be: the last poll has failed or is overdue.
     Unconfirmed,
 }
 
@@ -58,10 +64,12 @@
         self == ListConfirmation::Confirmed
     }
 
-    /// Whether requests wait for the first poll, at a site where replicas can't be probed.
-    pub(crate) fn awaits_first_poll(self, now: Seconds) -> bool {
+    /// Whether requests wait for a poll, at a site where replicas can't be probed.
+    pub(crate) fn awaits_poll(self, now: Seconds) -> bool {
         match self {
-            ListConfirmation::Restored { at } => now < at + MAX_FIRST_POLL_WAIT,
+            ListConfirmation::Restored { at } | ListConfirmation::Incomplete { at } => {
+                now < at + MAX_POLL_WAIT
+            }
             ListConfirmation::Confirmed | ListConfirmation::Unconfirmed => false,
         }
     }
@@ -73,9 +81,16 @@
         }
     }
 
-    /// A poll has ended without a list.
+    /// A part of an answer has come. Further parts do not prolong the wait for the whole.
+    pub(crate) fn mark_incomplete(&mut self, now: Seconds) {
+        if !matches!(self, ListConfirmation::Incomplete { .. }) {
+            *self = ListConfirmation::Incomplete { at: now };
+        }
+    }
+
+    /// A poll has ended without a list. After a part of an answer the next one is waited for.
     pub(crate) fn record_failed_poll(&mut self) {
-        if !self.is_confirmed() {
+        if matches!(self, ListConfirmation::Restored { .. }) {
             *self = ListConfirmation::Unconfirmed;
         }
     }
--- a/crates/scheduler/src/scheduler/arrival.rs
+++ b/crates/scheduler/src/scheduler/arrival.rs
@@ -32,6 +32,14 @@
             return;
         };
         let time_left = self.time_left(incoming);
+        if time_left <= 0.0 {
+            // Its client has given up: an attempt would be cancelled at once, and might have run.
+            actions.push(Action::Reject {
+                request: id,
+                retry_after: 0.0,
+            });
+            return;
+        }
         let request = self.new_request(incoming, &class, time_left);
         if let Some(retry_after) = self.early_rejection(&request, time_left) {
             actions.push(Action::Reject {
--- a/crates/scheduler/src/scheduler/dispatch.rs
+++ b/crates/scheduler/src/scheduler/dispatch.rs
@@ -12,7 +12,7 @@
 impl Scheduler {
     /// Dispatches queued requests while any replica has capacity for the highest tier that has some.
     pub(super) fn dispatch_queued(&mut self, actions: &mut Vec<Action>) {
-        if self.awaits_first_poll() {
+        if self.awaits_poll() {
             return;
         }
         while self.has_capacity_for_queue() {
--- a/crates/scheduler/src/scheduler/evidence.rs
+++ b/crates/scheduler/src/scheduler/evidence.rs
@@ -14,6 +14,7 @@
                 self.enqueue_deferred();
             }
             EndpointListStatus::Unconfirmed => self.list_confirmation.mark_unconfirmed(),
+            EndpointListStatus::Incomplete => self.list_confirmation.mark_incomplete(self.now),
             EndpointListStatus::Restored => {
                 self.list_confirmation = ListConfirmation::Restored { at: self.now };
             }
@@ -25,9 +26,9 @@
         !self.list_confirmation.is_confirmed() && self.settings.limits.allows_probes
     }
 
-    /// Whether requests wait for the first poll of the endpoint list.
-    pub(super) fn awaits_first_poll(&self) -> bool {
-        !self.settings.limits.allows_probes && self.list_confirmation.awaits_first_poll(self.now)
+    /// Whether requests wait for a poll of the endpoint list.
+    pub(super) fn awaits_poll(&self) -> bool {
+        !self.settings.limits.allows_probes && self.list_confirmation.awaits_poll(self.now)
     }
 
     /// Chooses among the candidates a replica that has just said that it takes requests. Where the chosen one has not, it is
--- a/crates/scheduler/src/types/endpoint.rs
+++ b/crates/scheduler/src/types/endpoint.rs
@@ -31,9 +31,10 @@
 pub enum EndpointListStatus {
     /// It is current: a poll was answered completely, and the next one is under way or about to be.
     Confirmed,
-    /// A poll has failed, or is overdue, or a part of its answer is missing: the list may lack changes that the router counts
-    /// as notified of.
+    /// A poll has failed or is overdue: the list may lack changes that the router counts as notified of.
     Unconfirmed,
+    /// A part of an answer has come, and may have told of a drain: it counts as delivered.
+    Incomplete,
     /// It is of an earlier process of this router, and of any age.
     Restored,
 }
--- a/src/program/resolve.rs
+++ b/src/program/resolve.rs
@@ -220,7 +220,7 @@
             // Every branch is safe to cancel: a message stays in the channel, and timers are set anew.
             tokio::select! {
                 message = updates.recv() => {
-                    if let Some(DispatcherMessage::EndpointUpdate { source, update: told }) = message {
+                    if let Some(DispatcherMessage::EndpointUpdate { source, update: told, .. }) = message {
                         self.apply_update(source, told);
                     }
                 }
--- a/src/transport/dispatcher/endpoint_updates.rs
+++ b/src/transport/dispatcher/endpoint_updates.rs
@@ -15,6 +15,7 @@
         now: MonotonicMicros,
         source: &str,
         update: SourceUpdate,
+        is_current: bool,
     ) {
         let has_failed = update == SourceUpdate::Failed;
         let changes = self
@@ -28,7 +29,7 @@
             self.set_endpoint_list_status(now, EndpointListStatus::Unconfirmed);
             // The scheduler decides when discovery is asked again; other sources ask again by themselves.
             self.process_event(now, RouterEvent::EndpointListFailed);
-        } else {
+        } else if is_current {
             self.set_endpoint_list_status(now, EndpointListStatus::Confirmed);
         }
     }
--- a/src/transport/dispatcher/mod.rs
+++ b/src/transport/dispatcher/mod.rs
@@ -34,7 +34,7 @@
 use clients::{RequestOwners, WaitingClients};
 use in_flight::InFlightAttempts;
 use poppykeel_endpoints::SourceUpdate;
-use poppykeel_scheduler::{BudgetGrants, EndpointListStatus};
+use poppykeel_scheduler::BudgetGrants;
 use poppykeel_site_settings::SiteSettings;
 use std::rc::Rc;
 use std::time::Duration;
@@ -86,6 +86,7 @@
             commands: Vec::new(),
         };
         let now = dispatcher.clock.now();
+        dispatcher.replica_client.turn_clock().record_turn(now);
         // The scheduler begins with the first event that it gets. Without this one a node that knows no replica would ask for
         // the endpoint list with its first request only, and that request would wait for it.
         let no_change = RouterEvent::EndpointsChanged(Vec::new());
@@ -164,11 +165,13 @@
                     report,
                 },
             ),
-            DispatcherMessage::EndpointUpdate { source, update } => {
-                self.handle_endpoint_update(now, source, update);
-            }
-            DispatcherMessage::EndpointListUnconfirmed => {
-                self.set_endpoint_list_status(now, EndpointListStatus::Unconfirmed);
+            DispatcherMessage::EndpointUpdate {
+                source,
+                update,
+                is_current,
+            } => self.handle_endpoint_update(now, source, update, is_current),
+            DispatcherMessage::EndpointListStatusChanged(status) => {
+                self.set_endpoint_list_status(now, status);
             }
             DispatcherMessage::SetEndpointSources(sources) => {
                 self.set_endpoint_sources(now, sources);
--- a/src/transport/dispatcher/suspension.rs
+++ b/src/transport/dispatcher/suspension.rs
@@ -23,7 +23,9 @@
         );
         for message in std::mem::take(batch) {
             match message {
-                DispatcherMessage::EndpointUpdate { .. } => self.handle_message(now, message),
+                DispatcherMessage::EndpointUpdate { source, update, .. } => {
+                    self.handle_endpoint_update(now, source, update, false);
+                }
                 other => batch.push(other),
             }
         }
--- a/src/transport/endpoints/discovery.rs
+++ b/src/transport/endpoints/discovery.rs
@@ -9,6 +9,8 @@
 //! over. So after a poll without an answer the next one does not wait at the service, and after a refusal it waits
 //! for a short time.
 
+mod reports;
+
 use super::poll::{self, PollError, PollRequest};
 use super::poll_log::PollLog;
 use super::watcher_state::{PollMode, WatcherEvent, WatcherState};
@@ -19,7 +21,9 @@
 use crate::transport::{HttpConnection, TransportLimits};
 use poppykeel_endpoints::SourceUpdate;
 use poppykeel_scheduler::BudgetLedger;
-use poppykeel_scheduler::{BudgetDemand, BudgetGrants, BudgetKind, EndpointListMode};
+use poppykeel_scheduler::{
+    BudgetDemand, BudgetGrants, BudgetKind, EndpointListMode, EndpointListStatus,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -40,6 +44,9 @@
 /// Discovery takes a poll that comes within this time of its last answer as the same watch.
 const MAX_WATCH_GAP: Duration = Duration::from_millis(200);
 
+/// An answer that has come before its poll is dropped has been read within this time.
+const BACKLOG_READ_TIME: Duration = Duration::from_millis(10);
+
 /// What one poll takes out of the budget.
 const UNITS_PER_POLL: f64 = 1.0;
 
@@ -73,8 +80,8 @@
 
 /// How a poll ended.
 enum PollOutcome {
-    /// The poll was dropped: another one is to be made.
-    PollDropped,
+    /// The poll was dropped, and another one is to be made; with the list of an answer that had come by then.
+    Dropped(Option<EndpointListResponse>),
     /// The service has answered with a list.
     Answered(EndpointListResponse),
     /// The connection was refused or reset, or the answer is no list.
@@ -209,7 +216,7 @@
         while let Some(error) = self.poll_until_failure().await {
             self.log_failure(&error);
             let is_paused = matches!(self.shared.state.get(), WatcherState::Paused(_));
-            let report = self.send_update(SourceUpdate::Failed).await;
+            let report = self.send_update(SourceUpdate::Failed, true).await;
             if !is_paused {
                 return;
             }
@@ -243,10 +250,10 @@
                 return None;
             }
             match self.poll(&mut connection, mode).await {
-                PollOutcome::PollDropped => {
+                PollOutcome::Dropped(last_list) => {
                     self.apply(WatcherEvent::PollDropped);
                     connection = None;
-                    self.report_doubt().await;
+                    self.report_dropped_poll(last_list).await;
                 }
                 PollOutcome::Answered(response) => {
                     self.apply(WatcherEvent::Answered);
@@ -263,7 +270,7 @@
                     if !matches!(state, WatcherState::Polling(_)) {
                         return Some(error);
                     }
-                    self.report_doubt().await;
+                    self.report_doubt(EndpointListStatus::Incomplete).await;
                     self.log_failure(&error);
                     connection = None;
                 }
@@ -272,7 +279,7 @@
                     if !matches!(state, WatcherState::Polling(_)) {
                         return Some(PollError::Timeout);
                     }
-                    self.report_doubt().await;
+                    self.report_doubt(EndpointListStatus::Unconfirmed).await;
                     tracing::info!(
                         source = ENDPOINT_LIST_SOURCE,
                         "no answer from discovery in time; polling on a new connection"
@@ -286,13 +293,18 @@
 
     /// One poll, on the connection of the previous one or on a new one.
     async fn poll(&self, connection: &mut Option<HttpConnection>, mode: PollMode) -> PollOutcome {
-        // `notified` is safe to cancel: a notification that comes later is kept for the next call. A poll that is
-        // dropped closes its connection with it, since the connection is taken out of `connection` while it is used,
-        // and loses nothing: the next poll asks for everything after the same version.
+        let mut poll = std::pin::pin!(self.poll_in_time(connection, mode));
+        // `notified` is safe to cancel: a notification that comes later is kept for the next call.
         tokio::select! {
             biased;
-            () = self.shared.poll_dropped.notified() => PollOutcome::PollDropped,
-            outcome = self.poll_in_time(connection, mode) => outcome,
+            () = self.shared.poll_dropped.notified() => {}
+            outcome = &mut poll => return outcome,
+        }
+        // What has come already counts as delivered, so it is read. The poll that is dropped then closes its connection,
+        // and loses nothing: the next one asks for everything after the same version.
+        match tokio::time::timeout(BACKLOG_READ_TIME, poll).await {
+            Ok(PollOutcome::Answered(list)) => PollOutcome::Dropped(Some(list)),
+            _ => PollOutcome::Dropped(None),
         }
     }
 
@@ -334,7 +346,7 @@
             let unwatched = Duration::from_micros(self.shared.clock.now() - began_at);
             if unwatched >= MAX_WATCH_GAP && !is_doubtful {
                 is_doubtful = true;
-                self.report_doubt().await;
+                self.report_doubt(EndpointListStatus::Unconfirmed).await;
             }
             tokio::time::sleep(BUDGET_CHECK_INTERVAL).await;
         }
@@ -389,51 +401,7 @@
         if let Ok(response) = tokio::time::timeout(ANSWER_TRANSFER_TIME, &mut answer).await {
             return response;
         }
-        self.report_doubt().await;
+        self.report_doubt(EndpointListStatus::Incomplete).await;
         answer.await
     }
-
-    /// Tells the dispatcher that the list may be out of date.
-    async fn report_doubt(&self) {
-        self.shared.log.record_doubt(self.shared.clock.now());
-        // The channel is closed only once the node has ended.
-        let _ = self
-            .shared
-            .dispatcher
-            .send(DispatcherMessage::EndpointListUnconfirmed)
-            .await;
-    }
-
-    /// Sends a list to the dispatcher.
-    async fn report_list(
-        &self,
-        response: EndpointListResponse,
-    ) -> Result<(), mpsc::error::SendError<DispatcherMessage>> {
-        self.shared
-            .log
-            .record_answer(self.shared.clock.now(), response.version());
-        // The version is set before the next poll goes out, however late the dispatcher takes the list.
-        self.set_known_version(response.version());
-        self.send_update(response.into_source_update()).await
-    }
-
-    /// Sends an update to the dispatcher, and waits while its channel is full. Fails if the dispatcher has gone.
-    async fn send_update(
-        &self,
-        update: SourceUpdate,
-    ) -> Result<(), mpsc::error::SendError<DispatcherMessage>> {
-        let message = DispatcherMessage::EndpointUpdate {
-            source: ENDPOINT_LIST_SOURCE,
-            update,
-        };
-        self.shared.dispatcher.send(message).await
-    }
-
-    fn log_failure(&self, error: &PollError) {
-        let shared = &self.shared;
-        let known_version = shared.known_version.get();
-        shared
-            .log
-            .record_failure(shared.clock.now(), error, known_version);
-    }
 }
--- /dev/null
+++ b/src/transport/endpoints/discovery/reports.rs
@@ -0,0 +1,67 @@
+//! What the watcher tells the dispatcher, and the log, of its polls.
+
+use super::EndpointWatcher;
+use crate::protocol::discovery::EndpointListResponse;
+use crate::transport::endpoints::poll::PollError;
+use crate::transport::messages::{DispatcherMessage, ENDPOINT_LIST_SOURCE};
+use poppykeel_endpoints::SourceUpdate;
+use poppykeel_scheduler::EndpointListStatus;
+use tokio::sync::mpsc;
+
+impl EndpointWatcher {
+    /// A poll was dropped. What came before that is reported, but says nothing of the present.
+    pub(super) async fn report_dropped_poll(&self, last_list: Option<EndpointListResponse>) {
+        self.report_doubt(EndpointListStatus::Unconfirmed).await;
+        if let Some(list) = last_list {
+            self.set_known_version(list.version());
+            // The channel is closed only once the node has ended.
+            let _ = self.send_update(list.into_source_update(), false).await;
+        }
+    }
+
+    /// Tells the dispatcher that the list may be out of date.
+    pub(super) async fn report_doubt(&self, status: EndpointListStatus) {
+        self.shared.log.record_doubt(self.shared.clock.now());
+        // The channel is closed only once the node has ended.
+        let _ = self
+            .shared
+            .dispatcher
+            .send(DispatcherMessage::EndpointListStatusChanged(status))
+            .await;
+    }
+
+    /// Sends a list to the dispatcher.
+    pub(super) async fn report_list(
+        &self,
+        response: EndpointListResponse,
+    ) -> Result<(), mpsc::error::SendError<DispatcherMessage>> {
+        self.shared
+            .log
+            .record_answer(self.shared.clock.now(), response.version());
+        // The version is set before the next poll goes out, however late the dispatcher takes the list.
+        self.set_known_version(response.version());
+        self.send_update(response.into_source_update(), true).await
+    }
+
+    /// Sends an update to the dispatcher, and waits while its channel is full. Fails if the dispatcher has gone.
+    pub(super) async fn send_update(
+        &self,
+        update: SourceUpdate,
+        is_current: bool,
+    ) -> Result<(), mpsc::error::SendError<DispatcherMessage>> {
+        let message = DispatcherMessage::EndpointUpdate {
+            source: ENDPOINT_LIST_SOURCE,
+            update,
+            is_current,
+        };
+        self.shared.dispatcher.send(message).await
+    }
+
+    pub(super) fn log_failure(&self, error: &PollError) {
+        let shared = &self.shared;
+        let known_version = shared.known_version.get();
+        shared
+            .log
+            .record_failure(shared.clock.now(), error, known_version);
+    }
+}
--- a/src/transport/endpoints/srv.rs
+++ b/src/transport/endpoints/srv.rs
@@ -137,6 +137,7 @@
                 ResolverEvent::Failed { reason, .. } => SrvLookupResult::Failed(reason),
             };
             let message = DispatcherMessage::EndpointUpdate {
+                is_current: true,
                 source: SRV_SOURCE,
                 update,
             };
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use poppykeel_endpoints::SourceUpdate;
 use poppykeel_scheduler::{
-    AttemptOutcome, BudgetDemand, BudgetGrants, BudgetKind, IncomingRequest, LearnedState,
-    LoadReport, ReplicaId, RequestId,
+    AttemptOutcome, BudgetDemand, BudgetGrants, BudgetKind, EndpointListStatus, IncomingRequest,
+    LearnedState, LoadReport, ReplicaId, RequestId,
 };
 use poppykeel_site_settings::SiteSettings;
 use std::collections::BTreeMap;
@@ -151,8 +151,8 @@
         /// The load report that came with the response.
         report: Option<LoadReport>,
     },
-    /// Discovery's endpoint list may be out of date: a poll is overdue, or a part of its answer is missing.
-    EndpointListUnconfirmed,
+    /// The age of discovery's endpoint list is doubtful.
+    EndpointListStatusChanged(EndpointListStatus),
     /// A probe has ended.
     ProbeEnded {
         /// The replica that was probed.
@@ -168,6 +168,8 @@
         source: &'static str,
         /// Its answer.
         update: SourceUpdate,
+        /// Whether the answer was read as it came; else it says nothing of the present.
+        is_current: bool,
     },
     /// New settings of the endpoint sources.
     SetEndpointSources(EndpointSourceSettings),
--- a/src/transport/turn_clock.rs
+++ b/src/transport/turn_clock.rs
@@ -47,6 +47,11 @@
         if self.was_suspended(now) {
             return self.time_since_turn(now);
         }
+        self.backlog_of_last(now)
+    }
+
+    /// The length of the last suspension, for a moment after it.
+    fn backlog_of_last(&self, now: MonotonicMicros) -> DurationMicros {
         let last = self.last_suspension.get();
         last.filter(|last| now < last.noticed_at.saturating_add(BACKLOG_TIME))
             .map_or(0, |last| last.span)
@@ -55,9 +60,12 @@
     /// Notes a turn.
     pub fn record_turn(&self, now: MonotonicMicros) {
         if self.was_suspended(now) {
+            // What waited through the suspension before may not have been read between the two.
+            let last_turn_at = self.last_turn_at.get().unwrap_or(now);
+            let span = self.time_since_turn(now) + self.backlog_of_last(last_turn_at);
             self.last_suspension.set(Some(Suspension {
                 noticed_at: now,
-                span: self.time_since_turn(now),
+                span,
             }));
         }
         self.last_turn_at.set(Some(now));
--- a/src/transport/turn_clock/tests.rs
+++ b/src/transport/turn_clock/tests.rs
@@ -29,3 +29,15 @@
     clock.record_turn(resumed_at + 20_000);
     assert_eq!(clock.backlog_age(resumed_at + BACKLOG_TIME), 0);
 }
+
+#[test]
+fn suspensions_in_a_row_add_up() {
+    let clock = TurnClock::default();
+    clock.record_turn(0);
+    clock.record_turn(2 * MAX_TURN_GAP);
+    clock.record_turn(2 * MAX_TURN_GAP + BACKLOG_TIME / 2);
+    let resumed_at = 5 * MAX_TURN_GAP;
+    clock.record_turn(resumed_at);
+    let second = resumed_at - 2 * MAX_TURN_GAP - BACKLOG_TIME / 2;
+    assert_eq!(clock.backlog_age(resumed_at + 1), 2 * MAX_TURN_GAP + second);
+}
