--- a/tests/stale_endpoints.rs
+++ b/tests/stale_endpoints.rs
@@ -219,3 +219,16 @@
     wait_until("the poll after the part", || discovery.poll_count() > 2);
     assert_drain_is_heeded(&node, &draining, "part");
 }
+
+/// The same where the answer to the first poll of a process is cut: that does not end the wait for a list.
+#[test]
+fn restarted_node_without_probes_holds_requests_after_parts_of_answers() {
+    let (draining, serving) = (DrainableReplica::start(), DrainableReplica::start());
+    let drain = drain_of(0, draining.addr);
+    draining.drain();
+    let discovery =
+        ScriptedDiscovery::start(&[PollAnswer::Cut(drain.clone()), PollAnswer::List(drain)]);
+    let replicas = [draining.addr, serving.addr];
+    let node = node_of("parts-held", &discovery, &replicas).start();
+    assert_drain_is_heeded(&node, &draining, "parts");
+}
--- a/tests/support/drainable_replica.rs
+++ b/tests/support/drainable_replica.rs
@@ -79,6 +79,8 @@
     List(String),
     /// Answers with the first half of this list and keeps the connection open.
     Half(String),
+    /// Answers with the first half of this list and closes the connection.
+    Cut(String),
     /// Answers with 503.
     Refused,
     /// Does not answer, and keeps the connection open.
@@ -147,6 +149,11 @@
             Some(PollAnswer::Refused) => UNAVAILABLE.to_string(),
             Some(PollAnswer::List(list)) => list_answer(&list),
             Some(PollAnswer::Half(list)) => half_answer(&list),
+            Some(PollAnswer::Cut(list)) => {
+                // The connection ends either way.
+                let _ = stream.write_all(half_answer(&list).as_bytes());
+                return;
+            }
             Some(PollAnswer::Held(list)) => {
                 await_release(state);
                 list_answer(&list)
