--- a/src/transport/endpoints/discovery.rs
+++ b/src/transport/endpoints/discovery.rs
@@ -267,10 +267,10 @@
                 }
                 PollOutcome::Incomplete(error) => {
                     let state = self.apply(WatcherEvent::AnswerIncomplete);
+                    self.report_doubt(EndpointListStatus::Incomplete).await;
                     if !matches!(state, WatcherState::Polling(_)) {
                         return Some(error);
                     }
-                    self.report_doubt(EndpointListStatus::Incomplete).await;
                     self.log_failure(&error);
                     connection = None;
                 }
