--- a/tests/stale_endpoints.rs
+++ b/tests/stale_endpoints.rs
@@ -232,3 +232,19 @@
     let node = node_of("parts-held", &discovery, &replicas).start();
     assert_drain_is_heeded(&node, &draining, "parts");
 }
+
+/// The incident at a site that does not allow probes: discovery is crowded and refuses the first poll. Requests wait for the
+/// next one.
+#[test]
+fn restarted_node_without_probes_holds_requests_while_discovery_is_crowded() {
+    let (draining, serving) = (DrainableReplica::start(), DrainableReplica::start());
+    draining.drain();
+    let discovery = ScriptedDiscovery::start(&[
+        PollAnswer::Refused,
+        PollAnswer::List(drain_of(0, draining.addr)),
+    ]);
+    let replicas = [draining.addr, serving.addr];
+    let node = node_of("crowded", &discovery, &replicas).start();
+    wait_until("the refused poll", || discovery.poll_count() > 0);
+    assert_drain_is_heeded(&node, &draining, "crowded");
+}
