--- a/crates/testbed/src/fault_injection/node_process.rs
+++ b/crates/testbed/src/fault_injection/node_process.rs
@@ -61,7 +61,7 @@
             )
             .env("POPPYKEEL_TEST_DISK", &command.disk_faults)
             // Also where the testbed is killed, and where the process is stopped at that moment.
-            .env("POPPYKEEL_TEST_WITH_PARENT", "1")
+            .env("POPPYKEEL_TEST_WITH_PARENT", std::process::id().to_string())
             .env_remove("GW_LISTEN")
             .env_remove("GW_NAME")
             .env_remove("GW_DISCOVERY")
--- a/src/program/serve/mod.rs
+++ b/src/program/serve/mod.rs
@@ -19,7 +19,8 @@
 use signals::{NodeSignal, NodeSignals};
 use tokio::task::LocalSet;
 
-/// For tests alone: if this environment variable is set, the process ends with the one that started it, however that ends.
+/// For tests alone: if this environment variable holds the id of the process that started this one, both end together,
+/// however that one ends.
 const END_WITH_PARENT_VARIABLE: &str = "POPPYKEEL_TEST_WITH_PARENT";
 /// The exit code after a panic, which is that of a Rust program without a runtime.
 const PANIC_EXIT_CODE: i32 = 101;
@@ -41,7 +42,7 @@
     settings: ServeSettings,
     read_again: impl Fn() -> Result<ServeSettings, SettingsFileError>,
 ) -> Result<(), ServeError> {
-    if std::env::var_os(END_WITH_PARENT_VARIABLE).is_some() {
+    if let Ok(parent) = std::env::var(END_WITH_PARENT_VARIABLE) {
         let kill = Some(rustix::process::Signal::KILL);
         rustix::process::set_parent_process_death_signal(kill).map_err(|error| {
             ServeError::ParentDeathSignal {
@@ -49,6 +50,11 @@
                 source: error.into(),
             }
         })?;
+        // The parent may have ended before the signal was set, and then it never comes.
+        let current = rustix::process::getppid().map(rustix::process::Pid::as_raw_pid);
+        if current.map(|id| id.to_string()) != Some(parent) {
+            return Ok(());
+        }
     }
     exit_on_panic();
     let runtime = tokio::runtime::Builder::new_current_thread()
