Log iterations of the event loop that take long, with the scheduler's work in them

Cause for the change: a node whose decisions take seconds logs only "the process stood still", the same line as after a pause of the machine, so that neither log nor metrics tell a long search in the queue from many placements, from work of other tasks or from a suspension.

--- a/crates/scheduler/src/fair_queue.rs
+++ b/crates/scheduler/src/fair_queue.rs
@@ -35,6 +35,14 @@
     }
 }
 
+/// A request whose cost has been charged to its tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ChargedRequest {
+    pub(crate) request: RequestId,
+    /// Number of tenants' turns that were examined to find the request.
+    pub(crate) turns: u64,
+}
+
 #[derive(Clone, Copy)]
 struct QueuedRequest {
     request: RequestId,
@@ -106,8 +114,10 @@
     }
 
     /// The next request in round-robin order; its cost is taken from its tenant's deficit.
-    fn charge_next(&mut self, quantum: f64) -> Option<RequestId> {
+    fn charge_next(&mut self, quantum: f64) -> Option<ChargedRequest> {
+        let mut turns = 0;
         loop {
+            turns += 1;
             let tenant = *self.turns.front()?;
             let queue = &mut self.queues[tenant];
             let next = *queue.requests.values().next()?;
@@ -117,7 +127,10 @@
             }
             if queue.deficit >= next.cost {
                 queue.deficit -= next.cost;
-                return Some(next.request);
+                return Some(ChargedRequest {
+                    request: next.request,
+                    turns,
+                });
             }
             queue.has_quantum = false;
             self.turns.rotate_left(1);
@@ -194,7 +207,7 @@
 
     /// The next request of the highest tier with queued requests. Its cost is charged to its tenant; the caller removes it
     /// from the queue.
-    pub(crate) fn charge_next(&mut self, quantum: f64) -> Option<RequestId> {
+    pub(crate) fn charge_next(&mut self, quantum: f64) -> Option<ChargedRequest> {
         let tier = self.tiers.iter_mut().find(|tier| !tier.is_empty())?;
         tier.charge_next(quantum)
     }
--- a/crates/scheduler/src/fair_queue/tests.rs
+++ b/crates/scheduler/src/fair_queue/tests.rs
@@ -1,6 +1,6 @@
 //! Unit tests of the fair queue.
 
-use super::{FairQueue, QueueEntry, QueueKey};
+use super::{ChargedRequest, FairQueue, QueueEntry, QueueKey};
 use crate::tests::settings;
 use crate::types::RequestId;
 
@@ -23,7 +23,7 @@
 /// Removes all requests; returns them in the order of the queue.
 fn dequeue_all(queue: &mut FairQueue, entries: &[QueueEntry]) -> Vec<u64> {
     let mut order = Vec::new();
-    while let Some(request) = queue.charge_next(QUANTUM) {
+    while let Some(ChargedRequest { request, .. }) = queue.charge_next(QUANTUM) {
         let entry = entries
             .iter()
             .find(|entry| entry.request == request)
@@ -87,7 +87,8 @@
     let mut queue = FairQueue::new(&settings());
     let cheap = entry(1, 0, 0, 1.0);
     queue.enqueue(&cheap);
-    assert_eq!(queue.charge_next(QUANTUM), Some(RequestId(1)));
+    let charged = queue.charge_next(QUANTUM).unwrap();
+    assert_eq!(charged.request, RequestId(1));
     queue.remove(&cheap);
     assert_eq!(queue.first_backlogged_tier(), None);
     let entries = [entry(2, 0, 0, 150.0), entry(3, 1, 0, 100.0)];
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -117,5 +117,5 @@
 
 pub use budgets::BudgetLedger;
 pub use endpoint_confirmation::max_write_start_delay;
-pub use scheduler::{ReplicaHealthStatus, Scheduler, SchedulerGauges};
+pub use scheduler::{DispatchWork, ReplicaHealthStatus, Scheduler, SchedulerGauges};
 pub use types::*;
--- a/crates/scheduler/src/scheduler/dispatch.rs
+++ b/crates/scheduler/src/scheduler/dispatch.rs
@@ -17,9 +17,12 @@
         }
         while self.has_capacity_for_queue() {
             let quantum = self.traffic.mean_request_cost();
-            let Some(id) = self.queue.charge_next(quantum) else {
+            let Some(charged) = self.queue.charge_next(quantum) else {
                 return;
             };
+            let id = charged.request;
+            self.work.queue_turns += charged.turns;
+            self.work.placements += 1;
             self.dequeue(id);
             match self.place(id, actions) {
                 Some(attempt) => self.start_attempt(id, attempt, actions),
--- a/crates/scheduler/src/scheduler/mod.rs
+++ b/crates/scheduler/src/scheduler/mod.rs
@@ -13,7 +13,7 @@
 mod status;
 mod timer;
 
-pub use status::{ReplicaHealthStatus, SchedulerGauges};
+pub use status::{DispatchWork, ReplicaHealthStatus, SchedulerGauges};
 
 use crate::admission::QueueWaitEstimator;
 use crate::budgets::{BudgetLedger, TenantQuotas};
@@ -71,6 +71,7 @@
     /// Requests without a first token must have their final answer by this time, because the router shuts down then;
     /// infinite unless a shutdown has started.
     answer_deadline: Seconds,
+    work: DispatchWork,
 }
 
 impl Scheduler {
@@ -99,6 +100,7 @@
             prompt_cache: PromptCacheModel::new(),
             is_panic_mode: false,
             answer_deadline: f64::INFINITY,
+            work: DispatchWork::default(),
             settings,
         })
     }
--- a/crates/scheduler/src/scheduler/status.rs
+++ b/crates/scheduler/src/scheduler/status.rs
@@ -21,6 +21,15 @@
     pub replica_count: usize,
 }
 
+/// The work done to dispatch queued requests since the scheduler was created.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DispatchWork {
+    /// Number of tenants' turns examined by the fair queue.
+    pub queue_turns: u64,
+    /// Number of times that a replica was sought for a queued request.
+    pub placements: u64,
+}
+
 /// The health of one listed replica, as seen by this router.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReplicaHealthStatus {
@@ -44,6 +53,11 @@
         }
     }
 
+    /// The work done to dispatch queued requests so far.
+    pub fn dispatch_work(&self) -> DispatchWork {
+        self.work
+    }
+
     /// Number of listed replicas that are draining or ejected.
     pub fn unavailable_replica_count(&self) -> usize {
         let listed = self
--- a/crates/scheduler/tests/fair_queue.rs
+++ b/crates/scheduler/tests/fair_queue.rs
@@ -116,3 +116,22 @@
         assert!((2..=13).contains(&light), "{implausible}: {light} of 15");
     }
 }
+
+#[test]
+fn dispatch_work_counts_turns_and_placements() {
+    let mut harness = SchedulerHarness::new(settings(), 1);
+    let started = harness.fill_capacity();
+    let before = harness.scheduler.dispatch_work();
+    assert!(before.placements >= started, "{before:?}");
+    assert!(before.queue_turns >= before.placements, "{before:?}");
+    harness.handle(Event::ClientDisconnected(RequestId(1000 + started)));
+    harness.arrive(incoming_request(1, 1, 0, 30.0));
+    assert_eq!(
+        harness.scheduler.dispatch_work(),
+        before,
+        "nothing has capacity"
+    );
+    harness.end_attempt(1000, 0, AttemptOutcome::Completed, true);
+    let after = harness.scheduler.dispatch_work();
+    assert_eq!(after.placements, before.placements + 1);
+}
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -20,7 +20,7 @@
     AttemptOutcome, BudgetDemand, BudgetGrants, BudgetKind, Event, IncomingRequest, LearnedState,
     LoadReport, ReplicaId, RequestId, SchedulerSettings, SettingsError,
 };
-use poppykeel_scheduler::{Scheduler, SchedulerGauges};
+use poppykeel_scheduler::{DispatchWork, Scheduler, SchedulerGauges};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The state of a listed replica in this node's scheduler.
@@ -71,6 +71,11 @@
         self.scheduler.gauges()
     }
 
+    /// The work done to dispatch queued requests since the process started.
+    pub fn dispatch_work(&self) -> DispatchWork {
+        self.scheduler.dispatch_work()
+    }
+
     /// Counters since the process started, over all classes.
     pub fn counters(&self) -> RequestCounters {
         self.statistics.counters()
--- a/src/transport/dispatcher/logging.rs
+++ b/src/transport/dispatcher/logging.rs
@@ -3,12 +3,43 @@
 
 use super::Dispatcher;
 use crate::routing::directory::EndpointChange;
-use crate::routing::{RouterCommand, RouterEvent};
-use poppykeel_scheduler::EndpointState;
+use crate::routing::{DurationMicros, MonotonicMicros, RouterCommand, RouterEvent};
+use poppykeel_scheduler::{DispatchWork, EndpointState};
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
+const MICROS_PER_MILLI: u64 = 1_000;
+
+/// An iteration of the event loop that takes longer than this is logged, in microseconds. The node does nothing else
+/// meanwhile.
+const SLOW_ITERATION: DurationMicros = 100_000;
+
+/// The state at the start of an iteration of the event loop.
+pub(super) struct IterationStart {
+    pub(super) at: MonotonicMicros,
+    /// Number of messages to be handled in the iteration.
+    pub(super) messages: usize,
+    pub(super) work: DispatchWork,
+}
 
 impl Dispatcher {
+    /// Logs an iteration of the event loop that took long, with the work that the scheduler did in it.
+    pub(super) fn log_slow_iteration(&self, start: &IterationStart) {
+        let duration = self.clock.now().saturating_sub(start.at);
+        if duration <= SLOW_ITERATION {
+            return;
+        }
+        let work = self.router.dispatch_work();
+        tracing::warn!(
+            duration_ms = duration / MICROS_PER_MILLI,
+            messages = start.messages,
+            queue_turns = work.queue_turns - start.work.queue_turns,
+            placements = work.placements - start.work.placements,
+            queued_by_tenant = ?self.router.gauges().queued_by_tenant,
+            active = self.router.active_count(),
+            "slow iteration of the event loop: no client or replica was served meanwhile"
+        );
+    }
+
     /// Logs counters since the start and current gauges, then the same for streams.
     pub(super) fn log_summary(&self) {
         let counters = self.router.counters();
--- a/src/transport/dispatcher/mod.rs
+++ b/src/transport/dispatcher/mod.rs
@@ -33,6 +33,7 @@
 };
 use clients::{RequestOwners, WaitingClients};
 use in_flight::InFlightAttempts;
+use logging::IterationStart;
 use poppykeel_endpoints::SourceUpdate;
 use poppykeel_scheduler::BudgetGrants;
 use poppykeel_site_settings::SiteSettings;
@@ -121,10 +122,16 @@
             self.replica_client
                 .suspension_detector()
                 .record_iteration(now);
+            let start = IterationStart {
+                at: now,
+                messages: batch.len(),
+                work: self.router.dispatch_work(),
+            };
             for message in batch.drain(..) {
                 self.handle_message(now, message);
             }
             self.run_timers(now);
+            self.log_slow_iteration(&start);
             if now >= next_summary {
                 next_summary = now + SUMMARY_INTERVAL;
                 self.log_summary();
