Log when the request of an attempt has been written, and how long that took

Cause for the change: a repeat that a replica gets late can be placed late by the scheduler, wait for its connection, or come from the client itself. The log has the placement ("starting an attempt", "retry"), but not the write.

Measured: nothing else changes; tests/transport.rs builds its attempts with the new field.

--- a/src/transport/dispatcher/commands.rs
+++ b/src/transport/dispatcher/commands.rs
@@ -106,6 +106,7 @@
             request: id.request,
             attempt: id.attempt,
             address: ReplicaAddress { replica, addr },
+            placed_at: now,
             deadline,
             begin_by: settings.limits.allows_probes.then_some(begin_by),
             inter_token_objective: client.inter_token_objective,
--- a/src/transport/replica/attempts.rs
+++ b/src/transport/replica/attempts.rs
@@ -66,6 +66,8 @@
     pub attempt: usize,
     /// The replica and the address where it listens.
     pub address: ReplicaAddress,
+    /// When the replica was chosen.
+    pub placed_at: MonotonicMicros,
     /// The node waits for the first token until this time. The remaining time is sent to the replica with the request.
     pub deadline: MonotonicMicros,
     /// While the endpoint list is not known to be current, the request must not be written after this time; `None` for no
@@ -224,6 +226,7 @@
             return AttemptResult::without_connection(AttemptOutcome::ConnectFailed);
         }
         self.count_sent(attempt.cross_zone_group);
+        self.log_written(&attempt);
         self.forward_response(&attempt, connection).await
     }
 
@@ -234,6 +237,16 @@
         is_list_stale || self.suspension_detector.was_suspended(now)
     }
 
+    /// Logs that a request has been written, and how long that took since the choice of the replica.
+    fn log_written(&self, attempt: &AttemptRequest) {
+        let since_placement_us = self.clock.now().saturating_sub(attempt.placed_at);
+        let AttemptRequest {
+            request, address, ..
+        } = attempt;
+        let (attempt, to) = (attempt.attempt, address.addr);
+        tracing::debug!(%request, attempt, %to, since_placement_us, "request written");
+    }
+
     fn count_sent(&self, cross_zone_group: Option<RequestGroup>) {
         self.sent_count.set(self.sent_count.get() + 1);
         if let Some(group) = cross_zone_group {
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -187,6 +187,7 @@
             request: RequestId(request),
             attempt: 0,
             address,
+            placed_at: 0,
             deadline: MonotonicMicros::MAX,
             begin_by: None,
             inter_token_objective: None,
