Calculate the rounds of the fair queue instead of playing them

Cause: deficit round robin gave each tenant one quantum a turn until a deficit covered the cost of the next request. The cost is what the client states, up to 2^41 tokens on sockets and 2^64 in the simulator's protocol, the quantum the mean cost of all requests, so a request of huge lengths took cost / quantum turns of a loop. Above 2^53 the deficit no longer grew at all, and the loop had no end; the same holds for a quantum of 0 or NaN.

Change: the queue calculates for each tenant after how many rounds its deficit covers its next request, takes the first, and adds the quanta of these rounds at once. Its work depends on the number of tenants with queued requests and on nothing that a client states. A quantum is at least one token, by its type.

Why it works: the rounds are a quotient, not a count of steps.

--- a/crates/scheduler/src/fair_queue.rs
+++ b/crates/scheduler/src/fair_queue.rs
@@ -61,6 +61,27 @@
     has_quantum: bool,
 }
 
+impl TenantQueue {
+    /// Number of rounds that must pass until a turn of this tenant in which the deficit covers the next request.
+    fn full_rounds_until_affordable(&self, quantum: Quantum) -> f64 {
+        let next_cost = self.requests.values().next().map_or(0.0, |next| next.cost);
+        let missing_quanta = ((next_cost - self.deficit) / quantum.0).ceil();
+        // The current turn adds one quantum, unless the tenant has received it already.
+        let quanta_in_current_turn = if self.has_quantum { 0.0 } else { 1.0 };
+        (missing_quanta - quanta_in_current_turn).max(0.0)
+    }
+
+    /// Adds the quanta of this many turns to the deficit, and ends the last of these turns.
+    fn take_turns(&mut self, turns: f64, quantum: Quantum) {
+        if turns == 0.0 {
+            return;
+        }
+        let received = if self.has_quantum { 1.0 } else { 0.0 };
+        self.deficit += (turns - received) * quantum.0;
+        self.has_quantum = false;
+    }
+}
+
 /// All queued requests of one priority weight.
 struct Tier {
     priority_weight: f64,
@@ -113,28 +134,60 @@
         }
     }
 
-    /// The next request in round-robin order; its cost is taken from its tenant's deficit.
-    fn charge_next(&mut self, quantum: f64) -> Option<ChargedRequest> {
-        let mut turns = 0;
-        loop {
-            turns += 1;
-            let tenant = *self.turns.front()?;
-            let queue = &mut self.queues[tenant];
-            let next = *queue.requests.values().next()?;
-            if !queue.has_quantum {
-                queue.has_quantum = true;
-                queue.deficit += quantum;
-            }
-            if queue.deficit >= next.cost {
-                queue.deficit -= next.cost;
-                return Some(ChargedRequest {
-                    request: next.request,
-                    turns,
-                });
-            }
-            queue.has_quantum = false;
-            self.turns.rotate_left(1);
+    /// The next request in round-robin order; its cost is taken from its tenant's deficit. The rounds that pass until a
+    /// tenant's deficit covers its next request are calculated and not played one by one, because a client states the cost of
+    /// its request and so determines their number.
+    fn charge_next(&mut self, quantum: Quantum) -> Option<ChargedRequest> {
+        let next = self.next_turn(quantum)?;
+        for (position, tenant) in self.turns.iter().enumerate() {
+            let has_turn_in_last_round = position <= next.position;
+            let turns = next.full_rounds + f64::from(u8::from(has_turn_in_last_round));
+            self.queues[*tenant].take_turns(turns, quantum);
         }
+        let examined = self.turns.len() as u64;
+        self.turns.rotate_left(next.position);
+        let queue = &mut self.queues[*self.turns.front()?];
+        let request = *queue.requests.values().next()?;
+        queue.has_quantum = true;
+        // Rounding may leave the deficit slightly below the cost.
+        queue.deficit = (queue.deficit - request.cost).max(0.0);
+        Some(ChargedRequest {
+            request: request.request,
+            turns: examined,
+        })
+    }
+
+    /// The first turn in which a tenant's deficit covers its next request; `None` if the tier is empty.
+    fn next_turn(&self, quantum: Quantum) -> Option<NextTurn> {
+        let turns = self.turns.iter().enumerate();
+        let candidates = turns.map(|(position, tenant)| NextTurn {
+            full_rounds: self.queues[*tenant].full_rounds_until_affordable(quantum),
+            position,
+        });
+        candidates.min_by(|x, y| x.full_rounds.total_cmp(&y.full_rounds))
+    }
+}
+
+/// The turn in which the next request is dispatched.
+struct NextTurn {
+    /// Number of rounds, in which all tenants have a turn, before the round of this turn.
+    full_rounds: f64,
+    /// The tenant's position in round-robin order.
+    position: usize,
+}
+
+/// The cost, in tokens, that a tenant may dispatch in each of its turns.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Quantum(f64);
+
+impl Quantum {
+    /// The lower bound of a quantum, in tokens.
+    const MIN_TOKENS: f64 = 1.0;
+
+    /// A quantum of this many tokens, or of one if that is more.
+    pub(crate) fn new(tokens: f64) -> Quantum {
+        // `max` ignores NaN.
+        Quantum(tokens.max(Self::MIN_TOKENS))
     }
 }
 
@@ -207,7 +260,7 @@
 
     /// The next request of the highest tier with queued requests. Its cost is charged to its tenant; the caller removes it
     /// from the queue.
-    pub(crate) fn charge_next(&mut self, quantum: f64) -> Option<ChargedRequest> {
+    pub(crate) fn charge_next(&mut self, quantum: Quantum) -> Option<ChargedRequest> {
         let tier = self.tiers.iter_mut().find(|tier| !tier.is_empty())?;
         tier.charge_next(quantum)
     }
--- a/crates/scheduler/src/scheduler/dispatch.rs
+++ b/crates/scheduler/src/scheduler/dispatch.rs
@@ -2,6 +2,7 @@
 
 use super::{Scheduler, ESTIMATE_TIMING, TIMER_INTERVAL};
 use crate::attempt::Attempt;
+use crate::fair_queue::Quantum;
 use crate::hedging;
 use crate::placement::{self, PlacementLimits};
 use crate::types::{Action, BudgetKind, ReplicaId, RequestId};
@@ -16,7 +17,7 @@
             return;
         }
         while self.has_capacity_for_queue() {
-            let quantum = self.traffic.mean_request_cost();
+            let quantum = Quantum::new(self.traffic.mean_request_cost());
             let Some(charged) = self.queue.charge_next(quantum) else {
                 return;
             };
--- a/crates/scheduler/tests/fair_queue.rs
+++ b/crates/scheduler/tests/fair_queue.rs
@@ -135,3 +135,41 @@
     let after = harness.scheduler.dispatch_work();
     assert_eq!(after.placements, before.placements + 1);
 }
+
+/// Guards against a node that stands still: requests of one client with huge stated lengths wait in the queue, and each
+/// dispatch played as many rounds as their cost has quanta.
+#[test]
+fn requests_with_huge_lengths_do_not_lengthen_the_search_for_the_next_request() {
+    for tokens in [1 << 30, 1 << 40, u64::MAX / 2] {
+        let mut harness = SchedulerHarness::new(settings(), 1);
+        let started = harness.fill_capacity();
+        harness.handle(Event::ClientDisconnected(RequestId(1000 + started)));
+        for number in 0..4 {
+            let huge = IncomingRequest {
+                prompt_tokens: tokens,
+                max_output_tokens: tokens,
+                ..incoming_request(number, 1, (number % 2) as usize, 30.0)
+            };
+            harness.arrive(huge);
+        }
+        // Later requests bring the mean cost, which is the quantum, back to a usual value.
+        for number in 100..400 {
+            harness.arrive(incoming_request(number, 0, 0, 30.0));
+            harness.handle(Event::ClientDisconnected(RequestId(number)));
+        }
+        let before = harness.scheduler.dispatch_work();
+        let mut dispatched = 0;
+        for number in 0..started {
+            let actions = harness.end_attempt(1000 + number, 0, AttemptOutcome::Completed, true);
+            dispatched += started_attempts(&actions).len() as u64;
+        }
+        let after = harness.scheduler.dispatch_work();
+        let tenants = settings().tenants.len() as u64;
+        assert!(dispatched > 0, "lengths of {tokens} tokens");
+        assert!(
+            after.queue_turns - before.queue_turns
+                <= (after.placements - before.placements) * tenants,
+            "lengths of {tokens} tokens: {before:?}, {after:?}"
+        );
+    }
+}
