Add the stated lengths of a request without overflow

In the simulator's protocol, which allows 2^63, the sum of two lengths of 2^63 wrapped to 0 in a release build, so that the largest request was charged as the smallest; with overflow checks the adapter panicked.

Cause: an unchecked addition of two numbers from outside. Found while walking the paths on which stated lengths are used.

Change: the sum saturates.

Measured: sum_of_huge_lengths_does_not_overflow failed before with "attempt to add with overflow" and passes now.

--- a/crates/scheduler/src/scheduler/arrival.rs
+++ b/crates/scheduler/src/scheduler/arrival.rs
@@ -115,8 +115,12 @@
             self.host_types
                 .set_initial_service_time(class, incoming.max_output_tokens);
         }
-        let tokens = (incoming.prompt_tokens + incoming.max_output_tokens).max(1) as f64;
-        self.traffic.record_arrival(tokens, incoming.expected_work)
+        let tokens = incoming
+            .prompt_tokens
+            .saturating_add(incoming.max_output_tokens)
+            .max(1);
+        self.traffic
+            .record_arrival(tokens as f64, incoming.expected_work)
     }
 
     /// The `Retry-After` of a request that must be rejected because no replica has capacity and the request would be queued
--- a/crates/scheduler/tests/fair_queue.rs
+++ b/crates/scheduler/tests/fair_queue.rs
@@ -173,3 +173,19 @@
         );
     }
 }
+
+/// Guards against a sum of lengths that overflows: in the simulator's protocol a client may state up to 2^63 tokens for each.
+/// The sum panicked, or in a release build wrapped to 0, so that the largest request was charged as the smallest.
+#[test]
+fn sum_of_huge_lengths_does_not_overflow() {
+    let mut harness = SchedulerHarness::new(settings(), 1);
+    let huge = IncomingRequest {
+        prompt_tokens: 1 << 63,
+        max_output_tokens: 1 << 63,
+        ..incoming_request(1, 0, 0, 30.0)
+    };
+    let actions = harness.arrive(huge);
+    assert_eq!(started_attempts(&actions).len(), 1);
+    let learned = harness.scheduler.export_learned_state();
+    assert!(learned.mean_request_cost >= 2f64.powi(63), "{learned:?}");
+}
