Bound the time at which a keyed request is written, not only its placement

What callers saw: a request with an effect ran twice.

Cause: the retention was compared with the time of placement alone. Connecting takes up to dialTimeout, and writing a long body to a slow reader without bound; nothing looked at the retention again. The same holds for a first attempt whose connection is late while a hedged attempt has already run, and for a write that begins within the retention and ends after it.

Change: each attempt of a keyed request, the first one too, carries the time by which its last byte must be written: the placement of the first attempt that may have run, plus the retention, less the 0.15 s of a delayed process. The transport connects and writes under run_until, which asks the clock before each step, so that a connection which is ready after a stall writes nothing. An attempt that is not written by then ends as not sent. A request that may be repeated no more is answered as soon as no attempt is in flight, where it waited until its answer was of no use.

Why it works: all attempts that may have run lie in one interval of the length of the retention, by the interval that each of them carries, and not by a check on one path. The generated histories of the scheduler ask that of each pair of attempts.

--- a/crates/scheduler/src/endpoint_confirmation.rs
+++ b/crates/scheduler/src/endpoint_confirmation.rs
@@ -15,10 +15,9 @@
 //! the grace is allowed for the age of the evidence at placement. The other half, less the time for which the process may
 //! stall, is allowed for the connection ([`max_write_start_delay`]).
 
+use crate::time::MAX_PROCESS_STALL;
 use crate::types::Seconds;
 
-/// Allowance for a stall of the router process between reading its clock and writing an attempt.
-const MAX_PROCESS_STALL: Seconds = 0.15;
 /// Lower bound of the evidence lifetime and of the time for a connection. With a very short drain grace no evidence would
 /// ever be recent enough otherwise.
 const MIN_LIFETIME: Seconds = 0.05;
--- a/crates/scheduler/src/scheduler/attempt_events.rs
+++ b/crates/scheduler/src/scheduler/attempt_events.rs
@@ -222,7 +222,7 @@
     }
 
     pub(super) fn may_retry(&self, request: &Request) -> bool {
-        retry::may_retry(&self.settings, request, self.now + EXPIRY_MARGIN)
+        retry::may_retry(&self.settings, request, self.now, self.now + EXPIRY_MARGIN)
     }
 
     /// Records a response of a replica to a request, or to a probe (`is_answer` is false), which shows only that its process
--- a/crates/scheduler/src/scheduler/dispatch.rs
+++ b/crates/scheduler/src/scheduler/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::fair_queue::Quantum;
 use crate::hedging;
 use crate::placement::{self, PlacementLimits};
+use crate::retry;
 use crate::types::{Action, BudgetKind, ReplicaId, RequestId};
 
 /// The fraction of the cross-zone budget's burst that is reserved for requests of the highest priority.
@@ -27,11 +28,25 @@
             self.dequeue(id);
             match self.place(id, actions) {
                 Some(attempt) => self.start_attempt(id, attempt, actions),
-                None => self.deferred.push(id),
+                None => self.defer_or_answer(id, actions),
             }
         }
     }
 
+    /// Defers a request for which no replica qualifies. A request that must not be repeated any more is answered instead, once
+    /// it has no attempt in flight.
+    fn defer_or_answer(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let is_hopeless = self.requests.get(&id).is_some_and(|request| {
+            !retry::may_repeat(&self.settings, request, self.now)
+                && !request.has_attempt_in_flight()
+        });
+        if is_hopeless {
+            self.answer_request(id, actions);
+        } else {
+            self.deferred.push(id);
+        }
+    }
+
     fn has_capacity_for_queue(&self) -> bool {
         self.queue.first_backlogged_tier().is_some_and(|tier| {
             let is_best_effort = self.queue.is_best_effort(tier);
@@ -84,11 +99,13 @@
         let replica_id = attempt.replica;
         let prefill_tokens = attempt.prefill_tokens;
         let overdue_delay = hedging::overdue_delay(attempt.estimated_ttft);
+        let write_timeout = retry::write_timeout(&self.settings, request, self.now);
         request.add_attempt(attempt);
         actions.push(Action::StartAttempt {
             request: id,
             replica: replica_id,
             timeout: request.deadlines().deadline - self.now,
+            write_timeout,
         });
         self.traffic.record_dispatch(self.now, request.cost());
         self.record_budget_use(id, replica_id);
--- a/crates/scheduler/src/types/action.rs
+++ b/crates/scheduler/src/types/action.rs
@@ -13,6 +13,9 @@
         replica: ReplicaId,
         /// Time from now until the attempt must be ended as timed out if no first token has arrived.
         timeout: Seconds,
+        /// Time from now until the last byte of the attempt must be written; `None` for no limit. An attempt that is not
+        /// written in time must be ended as not sent: replicas might no longer recognise it as a repeat of another attempt.
+        write_timeout: Option<Seconds>,
     },
     /// Answer the client that the request is rejected. The client can retry it without a second effect.
     Reject {
--- a/crates/scheduler/tests/histories.rs
+++ b/crates/scheduler/tests/histories.rs
@@ -14,15 +14,20 @@
 use support::{endpoint, incoming_request, replica_id, settings, SchedulerHarness, TIMER_INTERVAL};
 
 const REPLICAS: usize = 4;
+/// The time for which replicas recognise repeats of keyed requests.
+const RETENTION: Seconds = 1.0;
+/// The time by which a stall of the process may delay a write.
+const MAX_PROCESS_STALL: Seconds = 0.15;
 /// Tolerance of comparisons of times.
 const TOLERANCE: Seconds = 1e-9;
 /// Possible outcomes of attempts without a first token.
-const OUTCOMES: [AttemptOutcome; 5] = [
+const OUTCOMES: [AttemptOutcome; 6] = [
     AttemptOutcome::Completed,
     AttemptOutcome::ServerError,
     AttemptOutcome::AtCapacity,
     AttemptOutcome::ConnectionReset,
     AttemptOutcome::ConnectFailed,
+    AttemptOutcome::NotSent,
 ];
 /// Possible outcomes of streaming attempts.
 const STREAM_OUTCOMES: [AttemptOutcome; 2] =
@@ -80,6 +85,14 @@
     is_streaming: bool,
 }
 
+/// When an attempt of a keyed request may be written.
+#[derive(Clone, Copy)]
+struct WritePeriod {
+    number: usize,
+    start: Seconds,
+    end: Seconds,
+}
+
 /// The environment of a scheduler: generates valid events and checks every action.
 struct Environment {
     harness: SchedulerHarness,
@@ -90,6 +103,8 @@
     in_flight: Vec<InFlight>,
     /// Number of attempts started so far, by request.
     attempt_counts: BTreeMap<u64, usize>,
+    /// The attempts of keyed requests that may have run, by request.
+    write_periods: BTreeMap<u64, Vec<WritePeriod>>,
     draining: BTreeSet<ReplicaId>,
     last_request: u64,
     actions: Vec<Action>,
@@ -101,7 +116,7 @@
         site.limits.allows_hedging = allows_hedging;
         site.classes[1].idempotency = Idempotency::Keyed {
             scope: DeduplicationScope::Zone,
-            retention: 1.0,
+            retention: RETENTION,
         };
         Environment {
             max_attempts: site.limits.max_attempts,
@@ -110,6 +125,7 @@
             open: BTreeMap::new(),
             in_flight: Vec::new(),
             attempt_counts: BTreeMap::new(),
+            write_periods: BTreeMap::new(),
             draining: BTreeSet::new(),
             last_request: 0,
             actions: Vec::new(),
@@ -127,8 +143,14 @@
     fn check(&mut self, action: &Action) {
         match action {
             Action::StartAttempt {
-                request, replica, ..
-            } => self.check_attempt(request.0, *replica),
+                request,
+                replica,
+                write_timeout,
+                ..
+            } => {
+                self.check_write_period(request.0, *write_timeout);
+                self.check_attempt(request.0, *replica);
+            }
             Action::Reject { request, .. } | Action::Fail { request } => {
                 let was_open = self.open.remove(&request.0).is_some();
                 assert!(was_open, "a second answer for {request:?}");
@@ -137,6 +159,30 @@
         }
     }
 
+    /// Each two attempts of a keyed request are written within the retention, however late their connections are established.
+    fn check_write_period(&mut self, request: u64, write_timeout: Option<Seconds>) {
+        let Some(write_timeout) = write_timeout else {
+            return;
+        };
+        let start = self.harness.now;
+        let new = WritePeriod {
+            number: self.attempt_counts.get(&request).copied().unwrap_or(0),
+            start,
+            end: start + write_timeout,
+        };
+        let periods = self.write_periods.entry(request).or_default();
+        for other in periods.iter() {
+            let longest_distance = (new.end - other.start).max(other.end - new.start);
+            assert!(
+                longest_distance + MAX_PROCESS_STALL <= RETENTION + TOLERANCE,
+                "attempts {} and {} of request {request} may be written {longest_distance} s apart",
+                other.number,
+                new.number
+            );
+        }
+        periods.push(new);
+    }
+
     fn check_attempt(&mut self, request: u64, replica: ReplicaId) {
         let is_open = self.open.contains_key(&request);
         assert!(is_open, "an attempt of a request that has its answer");
@@ -236,6 +282,13 @@
         } else {
             OUTCOMES[outcome % OUTCOMES.len()]
         };
+        let has_not_run = matches!(
+            outcome,
+            AttemptOutcome::AtCapacity | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent
+        );
+        if let Some(periods) = self.write_periods.get_mut(&attempt.request) {
+            periods.retain(|period| !has_not_run || period.number != attempt.number);
+        }
         let is_request_finished = outcome == AttemptOutcome::Completed
             || attempt.is_streaming
             || !self.open.contains_key(&attempt.request);
--- a/crates/scheduler/tests/retry.rs
+++ b/crates/scheduler/tests/retry.rs
@@ -6,12 +6,25 @@
 
 use poppykeel_scheduler::{
     Action, AttemptOutcome, DeduplicationScope, Idempotency, LoadReportSource, ReplicaId,
-    RequestId, SiteLimits,
+    RequestId, Seconds, SiteLimits,
 };
 use support::{
     answered_requests, incoming_request, replica_id, settings, started_attempts, SchedulerHarness,
 };
 
+/// The time by which a stall of the process may delay a write.
+const MAX_PROCESS_STALL: Seconds = 0.15;
+/// Tolerance of comparisons of times.
+const TOLERANCE: Seconds = 1e-9;
+
+/// The time within which the first of the started attempts must be written.
+fn write_timeout(actions: &[Action]) -> Option<Seconds> {
+    actions.iter().find_map(|action| match action {
+        Action::StartAttempt { write_timeout, .. } => *write_timeout,
+        _ => None,
+    })
+}
+
 #[test]
 fn fails_non_idempotent_request_that_may_have_run() {
     for (outcome, is_retried) in [
@@ -64,6 +77,72 @@
     }
 }
 
+/// Guards against a keyed request that runs twice: its repeat was placed within the retention, but written after it. The time
+/// to write is what is left of the retention, less the time for which the process may stall.
+#[test]
+fn attempts_of_a_keyed_request_must_be_written_within_the_retention() {
+    let mut site = settings();
+    site.classes[0].idempotency = Idempotency::Keyed {
+        scope: DeduplicationScope::AllReplicas,
+        retention: 2.0,
+    };
+    let mut harness = SchedulerHarness::new(site, 2);
+    let first = harness.arrive(incoming_request(1, 0, 0, 5.0));
+    let placed_at = harness.now;
+    let is_within_retention = |timeout: Option<Seconds>, now: Seconds| {
+        let left = placed_at + 2.0 - MAX_PROCESS_STALL - now;
+        timeout.is_some_and(|timeout| (timeout - left).abs() < TOLERANCE)
+    };
+    assert!(
+        is_within_retention(write_timeout(&first), harness.now),
+        "{first:?}"
+    );
+    harness.advance(0.7);
+    let second = harness.end_attempt(1, 0, AttemptOutcome::ServerError, false);
+    assert!(
+        is_within_retention(write_timeout(&second), harness.now),
+        "{second:?}"
+    );
+}
+
+/// A repeat that was not written in time is the last attempt: the client gets its answer at once.
+#[test]
+fn answers_a_keyed_request_at_the_end_of_its_retention() {
+    let mut site = settings();
+    site.classes[0].idempotency = Idempotency::Keyed {
+        scope: DeduplicationScope::AllReplicas,
+        retention: 2.0,
+    };
+    site.classes[0].ttft_objective = 20.0;
+    let mut harness = SchedulerHarness::new(site, 2);
+    harness.arrive(incoming_request(1, 0, 0, 30.0));
+    harness.advance(0.5);
+    harness.end_attempt(1, 0, AttemptOutcome::ServerError, false);
+    harness.advance(1.5);
+    let actions = harness.end_attempt(1, 1, AttemptOutcome::NotSent, false);
+    assert_eq!(
+        (
+            started_attempts(&actions).len(),
+            answered_requests(&actions)
+        ),
+        (0, vec![1])
+    );
+}
+
+/// Without a retention only the first attempt may be sent; it has no time limit.
+#[test]
+fn first_attempt_without_retention_may_be_written_at_any_time() {
+    let mut site = settings();
+    site.classes[0].idempotency = Idempotency::Keyed {
+        scope: DeduplicationScope::AllReplicas,
+        retention: 0.0,
+    };
+    let mut harness = SchedulerHarness::new(site, 2);
+    let first = harness.arrive(incoming_request(1, 0, 0, 5.0));
+    assert_eq!(started_attempts(&first).len(), 1);
+    assert_eq!(write_timeout(&first), None);
+}
+
 #[test]
 fn sends_no_probes_cancellations_or_retries_if_the_site_forbids_them() {
     let mut site = settings();
--- a/crates/simulator-adapter/src/protocol/actions.rs
+++ b/crates/simulator-adapter/src/protocol/actions.rs
@@ -9,6 +9,8 @@
             request,
             replica,
             timeout,
+            // In the simulator an attempt is sent when it is placed.
+            write_timeout: _,
         } => format!("attempt {instance} {request} {} {timeout:.6}", replica.0),
         Action::Reject {
             request,
--- a/crates/testbed/src/emulator/policies/baseline/mod.rs
+++ b/crates/testbed/src/emulator/policies/baseline/mod.rs
@@ -258,6 +258,7 @@
             attempt,
             replica: self.replicas.id(replica),
             deadline,
+            write_by: None,
         });
     }
 }
--- a/src/routing/command.rs
+++ b/src/routing/command.rs
@@ -16,6 +16,8 @@
         replica: ReplicaId,
         /// The router abandons the attempt if its first token has not arrived by this time.
         deadline: MonotonicMicros,
+        /// The last byte of the request must be written by this time, or the attempt ends as not sent; `None` for no limit.
+        write_by: Option<MonotonicMicros>,
     },
     /// Close the connection of an attempt. The router ignores later events of the attempt.
     AbandonAttempt {
--- a/src/routing/router/actions.rs
+++ b/src/routing/router/actions.rs
@@ -7,6 +7,15 @@
 use crate::routing::timers::Timer;
 use poppykeel_scheduler::{Action, AttemptOutcome, ReplicaId, RequestId, Seconds};
 
+/// The times by which an attempt must have progressed.
+#[derive(Clone, Copy)]
+struct AttemptDeadlines {
+    /// The attempt times out if its first token has not arrived by this time.
+    first_token: MonotonicMicros,
+    /// The last byte must be written by this time; `None` for no limit.
+    write: Option<MonotonicMicros>,
+}
+
 impl RequestRouter {
     /// Carries out one action of the scheduler and appends the resulting commands for the driver.
     pub(super) fn perform_action(
@@ -20,7 +29,15 @@
                 request,
                 replica,
                 timeout,
-            } => self.start_attempt(now, request, replica, timeout, commands),
+                write_timeout,
+            } => {
+                let deadlines = AttemptDeadlines {
+                    first_token: now.saturating_add(duration_micros(timeout)),
+                    write: write_timeout
+                        .map(|timeout| now.saturating_add(duration_micros(timeout))),
+                };
+                self.start_attempt(now, request, replica, deadlines, commands);
+            }
             Action::Reject {
                 request,
                 retry_after,
@@ -44,13 +61,13 @@
         now: MonotonicMicros,
         id: RequestId,
         replica: ReplicaId,
-        timeout: Seconds,
+        deadlines: AttemptDeadlines,
         commands: &mut Vec<RouterCommand>,
     ) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let deadline = now.saturating_add(duration_micros(timeout));
+        let deadline = deadlines.first_token;
         let attempt = request.add_attempt(now, deadline);
         let attempt_id = AttemptId {
             request: id,
@@ -68,6 +85,7 @@
             attempt,
             replica,
             deadline,
+            write_by: deadlines.write,
         });
     }
 
--- a/src/transport/dispatcher/commands.rs
+++ b/src/transport/dispatcher/commands.rs
@@ -10,6 +10,17 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// The scheduler's choice for an attempt.
+#[derive(Clone, Copy)]
+struct AttemptPlacement {
+    id: AttemptId,
+    replica: ReplicaId,
+    /// The node waits for the first token until this time.
+    deadline: MonotonicMicros,
+    /// The last byte must be written by this time; `None` for no limit.
+    write_by: Option<MonotonicMicros>,
+}
+
 impl Dispatcher {
     /// Executes all pending commands in order, including those that result from them.
     pub(super) fn execute_commands(&mut self, now: MonotonicMicros) {
@@ -28,7 +39,16 @@
                 attempt,
                 replica,
                 deadline,
-            } => self.start_attempt(now, AttemptId { request, attempt }, replica, deadline),
+                write_by,
+            } => {
+                let placement = AttemptPlacement {
+                    id: AttemptId { request, attempt },
+                    replica,
+                    deadline,
+                    write_by,
+                };
+                self.start_attempt(now, placement);
+            }
             RouterCommand::AbandonAttempt { request, attempt } => {
                 self.in_flight.abort(AttemptId { request, attempt });
             }
@@ -49,13 +69,8 @@
     }
 
     /// Starts the task of an attempt, unless its client has disconnected or its replica has been removed in the meantime.
-    fn start_attempt(
-        &mut self,
-        now: MonotonicMicros,
-        id: AttemptId,
-        replica: ReplicaId,
-        deadline: MonotonicMicros,
-    ) {
+    fn start_attempt(&mut self, now: MonotonicMicros, placement: AttemptPlacement) {
+        let AttemptPlacement { id, replica, .. } = placement;
         let AttemptId { request, attempt } = id;
         if self.waiting_clients.has_disconnected(request) {
             self.waiting_clients.remove(request);
@@ -66,7 +81,7 @@
         if let Some(after) = self.router.last_attempt_outcome(request) {
             tracing::debug!(%request, attempt, replica = %replica.0, ?after, "retry");
         }
-        let Some(attempt_request) = self.attempt_request(now, id, replica, deadline) else {
+        let Some(attempt_request) = self.attempt_request(now, placement) else {
             let event = RouterEvent::AttemptEnded {
                 request,
                 attempt,
@@ -91,10 +106,9 @@
     fn attempt_request(
         &self,
         now: MonotonicMicros,
-        id: AttemptId,
-        replica: ReplicaId,
-        deadline: MonotonicMicros,
+        placement: AttemptPlacement,
     ) -> Option<AttemptRequest> {
+        let AttemptPlacement { id, replica, .. } = placement;
         let addr = self.directory.addr(replica)?;
         let client = self.waiting_clients.get(id.request)?;
         let settings = &self.replica_client.site().scheduler;
@@ -107,7 +121,8 @@
             attempt: id.attempt,
             address: ReplicaAddress { replica, addr },
             placed_at: now,
-            deadline,
+            deadline: placement.deadline,
+            write_by: placement.write_by,
             begin_by: settings.limits.allows_probes.then_some(begin_by),
             inter_token_objective: client.inter_token_objective,
             cross_zone_group: is_cross_zone.then_some(client.group),
--- a/src/transport/dispatcher/logging.rs
+++ b/src/transport/dispatcher/logging.rs
@@ -135,8 +135,9 @@
             attempt,
             replica,
             deadline,
+            write_by,
         } => {
-            tracing::debug!(%request, attempt, replica = %replica.0, deadline, "starting an attempt");
+            tracing::debug!(%request, attempt, replica = %replica.0, deadline, ?write_by, "starting an attempt");
         }
         RouterCommand::AbandonAttempt { request, attempt } => {
             tracing::debug!(%request, attempt, "abandoning an attempt");
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -17,6 +17,7 @@
 pub mod node_phase;
 pub mod replica;
 pub mod socket;
+pub mod strict_timeout;
 pub mod suspension_detector;
 
 use crate::protocol::http::HttpCodec;
--- a/src/transport/replica/attempts.rs
+++ b/src/transport/replica/attempts.rs
@@ -6,7 +6,9 @@
 //!
 //! Invariants:
 //! - Nothing is awaited between setting [`AttemptRequest::has_begun`] and the first write.
-//! - An attempt whose last byte was not written can't have run, and is reported as a connect failure.
+//! - An attempt whose last byte was not written can't have run, and is reported as a connect failure or as not sent.
+//! - No byte of an attempt is written after [`AttemptRequest::write_by`], except for a stall of the process between reading
+//!   its clock and writing.
 //! - The outcome is reported to the dispatcher before the connection is released.
 
 use super::pool::{ConnectError, ConnectionPool, ReplicaAddress, ReplicaConnection};
@@ -18,6 +20,7 @@
 use crate::routing::{DurationMicros, MonotonicMicros};
 use crate::transport::clock::Clock;
 use crate::transport::messages::{DispatcherMessage, RequestPayload, StartedStream, StreamChunk};
+use crate::transport::strict_timeout::run_until;
 use crate::transport::suspension_detector::SuspensionDetector;
 use crate::transport::TransportLimits;
 use bytes::{Buf, Bytes};
@@ -70,6 +73,9 @@
     pub placed_at: MonotonicMicros,
     /// The node waits for the first token until this time. The remaining time is sent to the replica with the request.
     pub deadline: MonotonicMicros,
+    /// The last byte of the request must be written by this time, so that replicas recognise repeats of the request; `None`
+    /// for no limit.
+    pub write_by: Option<MonotonicMicros>,
     /// While the endpoint list is not known to be current, the request must not be written after this time; `None` for no
     /// limit.
     pub begin_by: Option<MonotonicMicros>,
@@ -199,23 +205,44 @@
 
     /// Sends the request and forwards the response until it ends.
     async fn send_and_forward(&self, attempt: AttemptRequest) -> AttemptResult {
+        match self.send_in_time(&attempt).await {
+            Ok(connection) => self.forward_response(&attempt, connection).await,
+            Err(outcome) => AttemptResult::without_connection(outcome),
+        }
+    }
+
+    /// Sends the request, unless that takes longer than allowed. The error is the outcome of an attempt that can't have run.
+    async fn send_in_time(
+        &self,
+        attempt: &AttemptRequest,
+    ) -> Result<ReplicaConnection, AttemptOutcome> {
+        let Some(write_by) = attempt.write_by else {
+            return self.send(attempt).await;
+        };
+        let sent = run_until(self.clock, write_by, self.send(attempt)).await;
+        sent.unwrap_or_else(|| {
+            let AttemptRequest { request, .. } = attempt;
+            let (attempt, to) = (attempt.attempt, attempt.address.addr);
+            tracing::info!(%request, attempt, %to, "withdrew unsent attempt: replicas may no longer recognise a repeat");
+            Err(AttemptOutcome::NotSent)
+        })
+    }
+
+    /// Acquires a connection and writes the request. The error is the outcome of an attempt that can't have run.
+    async fn send(&self, attempt: &AttemptRequest) -> Result<ReplicaConnection, AttemptOutcome> {
         let mut connection = match self.pool.acquire(attempt.address).await {
             Ok(connection) => connection,
-            Err(ConnectError::Unreachable) => {
-                return AttemptResult::without_connection(AttemptOutcome::ConnectFailed);
-            }
+            Err(ConnectError::Unreachable) => return Err(AttemptOutcome::ConnectFailed),
             // A local failure must not count against the replica.
-            Err(ConnectError::Exhausted) => {
-                return AttemptResult::without_connection(AttemptOutcome::NotSent);
-            }
+            Err(ConnectError::Exhausted) => return Err(AttemptOutcome::NotSent),
         };
         // Establishing the connection may have taken long, so the conditions for the attempt are checked again.
         let now = self.clock.now();
         let time_left = attempt.deadline.saturating_sub(now);
-        if time_left == 0 || self.is_outdated(&attempt, now) {
+        if time_left == 0 || self.is_outdated(attempt, now) {
             self.pool
                 .release(attempt.address, connection, Duration::ZERO);
-            return AttemptResult::without_connection(AttemptOutcome::NotSent);
+            return Err(AttemptOutcome::NotSent);
         }
         // Nothing may be awaited between this and the first write.
         attempt.has_begun.set(true);
@@ -223,11 +250,11 @@
         let body = attempt.payload.body.clone();
         if write_request(&mut connection, head, body).await.is_err() {
             // A request can't have run before its last byte is written.
-            return AttemptResult::without_connection(AttemptOutcome::ConnectFailed);
+            return Err(AttemptOutcome::ConnectFailed);
         }
         self.count_sent(attempt.cross_zone_group);
-        self.log_written(&attempt);
-        self.forward_response(&attempt, connection).await
+        self.log_written(attempt);
+        Ok(connection)
     }
 
     /// Whether an attempt may no longer begin: its replica may be draining, and the node may not have been notified yet.
--- a/tests/delayed_replica_connections.rs
+++ b/tests/delayed_replica_connections.rs
@@ -9,12 +9,13 @@
 mod support;
 
 use poppykeel_stub_model_server::{ClientOutcome, ReplyScript, StubServers};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 use support::{
     accept_request, answer_poll, endpoint_entry, expect_no_bytes, expect_no_request,
-    format_request, is_connecting_to, read_response, send_request, start_full_listener, wait_until,
-    DrainableReplica, Node, PollAnswer, ScriptedDiscovery,
+    format_request, is_connecting_to, read_response, read_some, send_request, start_full_listener,
+    wait_until, DrainableReplica, Node, PollAnswer, ScriptedDiscovery,
 };
 
 const DEADLINE_S: f64 = 10.0;
@@ -26,7 +27,7 @@
 fn send(node: &Node) -> std::net::TcpStream {
     let mut client = node.connect();
     let request = format_request(REQUEST_ID, "", "", DEADLINE_S);
-    std::io::Write::write_all(&mut client, request.as_bytes()).unwrap();
+    client.write_all(request.as_bytes()).unwrap();
     client
 }
 
@@ -178,3 +179,43 @@
     assert_eq!(response.join().unwrap().outcome, ClientOutcome::Completed);
     assert_eq!(replica.served_requests().len(), 1);
 }
+
+/// Guards against a request with an effect that runs twice: the first replica fails after it may have run, and the connection
+/// for the repeat is established after the time for which replicas recognise repeats.
+#[test]
+fn repeat_is_not_written_after_replicas_have_forgotten_the_request() {
+    const RETENTION: Duration = Duration::from_secs(1);
+    let first = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (delayed, queued) = start_full_listener();
+    let delayed_addr = delayed.local_addr().unwrap();
+    let second = list_changes(&[endpoint_entry("s-9", delayed_addr, "up")]);
+    let discovery = ScriptedDiscovery::start(&[
+        PollAnswer::List(NO_CHANGES.into()),
+        PollAnswer::Held(second),
+    ]);
+    let node = Node::builder("retention")
+        .replicas(&[first.local_addr().unwrap()])
+        .keyed(RETENTION.as_secs_f64())
+        .discovery(&discovery.addr.to_string())
+        .start();
+    node.wait_for_log("endpoint list confirmed");
+    let mut client = send(&node);
+    let mut attempt = accept_request(&first);
+    let received_at = Instant::now();
+    discovery.release();
+    node.wait_for_log("list changed");
+    attempt
+        .write_all(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
+    wait_until("the connection for the repeat", || {
+        is_connecting_to(delayed_addr.port())
+    });
+    std::thread::sleep(RETENTION.saturating_sub(received_at.elapsed()));
+    // The kernel's next SYN retransmission can now establish the connection.
+    drop(queued);
+    expect_no_bytes(&delayed);
+    let mut response = [0; 4096];
+    let length = read_some(&mut client, &mut response).unwrap();
+    let response = String::from_utf8_lossy(&response[..length]);
+    assert!(response.starts_with("HTTP/1.1 50"), "{response}");
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -33,6 +33,7 @@
     name: String,
     replicas: Vec<SocketAddr>,
     operator: String,
+    /// The value of the key `semantics`, as JSON, with the keys that it needs.
     semantics: String,
     discovery: String,
     allows_probes: bool,
@@ -62,7 +63,13 @@
 
     /// The semantics of class `chat`; `safe` by default.
     pub fn semantics(mut self, semantics: &str) -> Self {
-        self.semantics = semantics.into();
+        self.semantics = format!("\"{semantics}\"");
+        self
+    }
+
+    /// Makes the class `chat` keyed: all replicas together recognise repeats of a request for this time, in seconds.
+    pub fn keyed(mut self, retention_s: f64) -> Self {
+        self.semantics = format!(r#""keyed","dedupScope":"all","memorySpan":{retention_s}"#);
         self
     }
 
@@ -126,7 +133,7 @@
         let list_end = config.find("]},").unwrap();
         let config = config
             .replace(&config[list_start..list_end], &endpoints.join(","))
-            .replace("\"safe\"", &format!("\"{}\"", self.semantics))
+            .replace("\"safe\"", &self.semantics)
             .replace(
                 "\"probes\":false",
                 &format!("\"probes\":{}", self.allows_probes),
@@ -196,7 +203,7 @@
             name: "n0".into(),
             replicas: Vec::new(),
             operator: String::new(),
-            semantics: "safe".into(),
+            semantics: "\"safe\"".into(),
             discovery: NO_DISCOVERY.into(),
             allows_probes: false,
             max_sockets: None,
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -5,6 +5,7 @@
 #[path = "support/client_registry.rs"]
 mod client_registry;
 
+use bytes::Bytes;
 use client_registry::{config, registry};
 use futures_util::{SinkExt, StreamExt};
 use poppykeel::program::config::NodeConfig;
@@ -20,12 +21,13 @@
 use poppykeel::transport::replica::pool::{ConnectionPool, ReplicaAddress, ReplicaConnection};
 use poppykeel::transport::replica::stream_monitor::{StreamMonitor, StreamSettings};
 use poppykeel::transport::TransportLimits;
-use poppykeel_scheduler::RequestId;
+use poppykeel_scheduler::{AttemptOutcome, RequestId};
+use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, watch};
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
@@ -168,6 +170,27 @@
     )
 }
 
+/// The first attempt of a request, without limits of time.
+fn attempt_request(request: u64, address: ReplicaAddress, body: Bytes) -> AttemptRequest {
+    let payload = RequestPayload {
+        head: b"POST / HTTP/1.1\r\n".to_vec(),
+        body,
+    };
+    AttemptRequest {
+        request: RequestId(request),
+        attempt: 0,
+        address,
+        placed_at: 0,
+        deadline: MonotonicMicros::MAX,
+        write_by: None,
+        begin_by: None,
+        inter_token_objective: None,
+        cross_zone_group: None,
+        payload: Rc::new(payload),
+        has_begun: Rc::default(),
+    }
+}
+
 /// Runs whole attempts to a replica that sends its response twice: the next request does not receive the repeated response.
 #[tokio::test]
 async fn repeated_response_is_not_taken_for_that_of_the_next_request() {
@@ -179,22 +202,7 @@
     let (dispatcher, _messages) = mpsc::channel(16);
     let replica_client = replica_client(config(), dispatcher);
     let attempt = |request| {
-        let payload = RequestPayload {
-            head: b"POST / HTTP/1.1\r\n".to_vec(),
-            body: Default::default(),
-        };
-        let attempt_request = AttemptRequest {
-            request: RequestId(request),
-            attempt: 0,
-            address,
-            placed_at: 0,
-            deadline: MonotonicMicros::MAX,
-            begin_by: None,
-            inter_token_objective: None,
-            cross_zone_group: None,
-            payload: Rc::new(payload),
-            has_begun: Rc::default(),
-        };
+        let attempt_request = attempt_request(request, address, Bytes::new());
         tokio::task::spawn_local(replica_client.clone().run_attempt(attempt_request))
     };
     let test = async {
@@ -219,6 +227,44 @@
     tokio::task::LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a repeat that runs after replicas have forgotten the request: its write has begun in time, but the replica
+/// reads slowly, so the last byte would be written after the write deadline.
+#[tokio::test]
+async fn request_is_not_completed_after_its_write_deadline() {
+    /// More than the kernel buffers for a connection.
+    const BODY_BYTES: usize = 64 * 1024 * 1024;
+    const WRITE_TIME_US: MonotonicMicros = 200_000;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = ReplicaAddress {
+        replica: replica_id("s-1"),
+        addr: listener.local_addr().unwrap(),
+    };
+    let (dispatcher, mut messages) = mpsc::channel(16);
+    let replica_client = replica_client(config(), dispatcher);
+    let has_begun = Rc::new(Cell::new(false));
+    let attempt_request = AttemptRequest {
+        write_by: Some(WRITE_TIME_US),
+        has_begun: has_begun.clone(),
+        ..attempt_request(1, address, vec![0; BODY_BYTES].into())
+    };
+    let test = async {
+        tokio::task::spawn_local(replica_client.run_attempt(attempt_request));
+        let mut replica = listener.accept().await.unwrap().0;
+        // The replica reads nothing until the attempt has ended.
+        let end = tokio::time::timeout(MINUTE / 3, messages.recv()).await;
+        let Ok(Some(DispatcherMessage::AttemptEnded { outcome, .. })) = end else {
+            panic!("the attempt goes on after its write deadline");
+        };
+        assert_eq!(outcome, AttemptOutcome::NotSent);
+        assert!(has_begun.get(), "nothing was written");
+        let mut received = Vec::new();
+        // The connection may end with a reset.
+        let _ = replica.read_to_end(&mut received).await;
+        assert!(received.len() < BODY_BYTES, "the request was completed");
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
 /// Guards against lost requests at the end of a shutdown: a new connection or a request is in the kernel's buffers, and the
 /// runtime has not polled the socket since it arrived.
 #[tokio::test]
