Reject a keyed request that may have run only while its repeat can be recognised

What callers saw: a keyed request whose attempts had ended after its retention was answered with 503 and Retry-After, which invites the client to send it again, although replicas had forgotten the attempt that may have run.

Change: the check is given the earliest time of the client's repeat, now plus Retry-After. Where that lies after the retention, the request fails with 502, as for other requests that must not be repeated.

Measured: keyed_request_that_may_have_run_is_rejected_only_within_its_retention failed before ("after 2 s: [Reject ...") and passes now.

--- a/crates/scheduler/src/retry.rs
+++ b/crates/scheduler/src/retry.rs
@@ -82,16 +82,20 @@
     is_in_scope && may_repeat(view.settings, request, view.now)
 }
 
-/// Whether the client can retry a request at any router without a second effect.
-pub(crate) fn is_safe_for_client_to_retry(settings: &SchedulerSettings, request: &Request) -> bool {
+/// Whether the client can retry a request at any router, at this time at the earliest, without a second effect.
+pub(crate) fn is_safe_for_client_to_retry(
+    settings: &SchedulerSettings,
+    request: &Request,
+    retry_at: Seconds,
+) -> bool {
+    let Some(first) = request.first_attempt_that_may_have_run() else {
+        return true;
+    };
     match settings.classes[request.class()].idempotency {
-        Idempotency::Idempotent
-        | Idempotency::Keyed {
-            scope: DeduplicationScope::AllReplicas,
-            ..
-        } => true,
-        Idempotency::Keyed { .. } | Idempotency::NonIdempotent => {
-            request.first_attempt_that_may_have_run().is_none()
+        Idempotency::Idempotent => true,
+        Idempotency::NonIdempotent => false,
+        Idempotency::Keyed { scope, retention } => {
+            scope == DeduplicationScope::AllReplicas && retry_at < first.sent_at + retention
         }
     }
 }
--- a/crates/scheduler/src/scheduler/mod.rs
+++ b/crates/scheduler/src/scheduler/mod.rs
@@ -247,11 +247,13 @@
         else {
             return;
         };
-        if retry::is_safe_for_client_to_retry(&self.settings, request) {
-            let wait = self.queue_wait_estimator().wait_for(request);
+        let wait = self.queue_wait_estimator().wait_for(request);
+        let retry_after = wait.min(self.settings.limits.max_retry_after);
+        let retry_at = self.now + retry_after;
+        if retry::is_safe_for_client_to_retry(&self.settings, request, retry_at) {
             actions.push(Action::Reject {
                 request: id,
-                retry_after: wait.min(self.settings.limits.max_retry_after),
+                retry_after,
             });
         } else {
             actions.push(Action::Fail { request: id });
--- a/crates/scheduler/tests/retry.rs
+++ b/crates/scheduler/tests/retry.rs
@@ -129,6 +129,30 @@
     );
 }
 
+/// Guards against a keyed request that its client repeats after replicas have forgotten it: a rejection invites the client to
+/// send the request again, so it is given only while the repeat can be within the retention.
+#[test]
+fn keyed_request_that_may_have_run_is_rejected_only_within_its_retention() {
+    for (waited, is_rejected) in [(1.0, true), (2.0, false)] {
+        let mut site = settings();
+        site.classes[0].idempotency = Idempotency::Keyed {
+            scope: DeduplicationScope::AllReplicas,
+            retention: 2.0,
+        };
+        site.classes[0].ttft_objective = 20.0;
+        site.limits.max_attempts = 1;
+        let mut harness = SchedulerHarness::new(site, 2);
+        harness.arrive(incoming_request(1, 0, 0, 30.0));
+        harness.advance(waited);
+        let actions = harness.end_attempt(1, 0, AttemptOutcome::ServerError, false);
+        let has_rejection = actions
+            .iter()
+            .any(|action| matches!(action, Action::Reject { .. }));
+        assert_eq!(answered_requests(&actions), [1]);
+        assert_eq!(has_rejection, is_rejected, "after {waited} s: {actions:?}");
+    }
+}
+
 /// Without a retention only the first attempt may be sent; it has no time limit.
 #[test]
 fn first_attempt_without_retention_may_be_written_at_any_time() {
