Check the lease of a fleet report again when the collector's connection is up

What callers saw: nothing so far. A collector that is reached late got a report of a node whose lease had ended, up to 2 s after it; it refuses such a report only if it has had one of the next holder.

Change: connecting and writing run under run_while, which asks for the lease before each step. run_until, for attempts, is the same with the clock.

--- a/src/transport/coordination/report.rs
+++ b/src/transport/coordination/report.rs
@@ -7,6 +7,7 @@
 use super::{CoordinationDriver, ReportSettings};
 use crate::protocol::admin::NodeMetrics;
 use crate::transport::messages::{query, DispatcherQuery};
+use crate::transport::strict_timeout::run_while;
 use poppykeel_coordination::envelope::{ClassReplies, CrossZoneAttempts, MessageBody, NodeFigures};
 use poppykeel_coordination::Epoch;
 use poppykeel_coordination::Micros;
@@ -135,7 +136,7 @@
                 continue;
             }
             last_slot = slot;
-            // The lease must be checked immediately before acting: the report is sent under this epoch or not at all.
+            // The report is sent under this epoch or not at all.
             if let Some(epoch) = self.held_epoch(LEASE_TASK) {
                 let body = self
                     .report_body(&settings, epoch, slot, &figures)
@@ -146,13 +147,14 @@
         }
     }
 
-    /// Sends a report and counts its outcome.
+    /// Sends a report and counts its outcome. The lease is checked before each step: connecting to the collector may take
+    /// until after its end.
     async fn send_report(&self, collector: SocketAddr, epoch: Epoch, slot: u64, body: &str) {
-        let posted =
-            tokio::time::timeout(COLLECTOR_TIMEOUT, post_report(collector, epoch, body)).await;
-        match posted {
-            Ok(Ok(200..=299)) => self.report.count(|outcomes| outcomes.accepted += 1),
-            Ok(Ok(status)) => {
+        let is_held = || self.held_epoch(LEASE_TASK) == Some(epoch);
+        let post = run_while(is_held, post_report(collector, epoch, body));
+        match tokio::time::timeout(COLLECTOR_TIMEOUT, post).await {
+            Ok(Some(Ok(200..=299))) => self.report.count(|outcomes| outcomes.accepted += 1),
+            Ok(Some(Ok(status))) => {
                 tracing::warn!(
                     status,
                     epoch = epoch.0,
--- a/src/transport/strict_timeout.rs
+++ b/src/transport/strict_timeout.rs
@@ -1,8 +1,8 @@
-//! A timeout that is checked before each step of a future, not only when a timer fires.
+//! Conditions that are checked before each step of a future, not only at its start or when a timer fires.
 //!
-//! With a usual timeout, a future that becomes ready makes one more step even if its deadline has passed meanwhile: the
-//! process may have been suspended, or a connection may have been established while other tasks ran. Where such a step has an
-//! effect that must not happen late, such as the write of a request, the clock decides.
+//! A decision may be out of date when its effect happens: a connection is established late, or the process was suspended.
+//! With a usual timeout, a future that becomes ready makes one more step even if its deadline has passed meanwhile. Where such
+//! a step has an effect that must not happen late, such as the write of a request, the condition is checked again before it.
 
 use super::clock::Clock;
 use crate::routing::MonotonicMicros;
@@ -10,26 +10,33 @@
 use std::pin::pin;
 use std::task::Poll;
 
-/// Runs a future until a deadline. Returns `None` if the future is not complete by then; it is then dropped, and no step of it
-/// has begun after the deadline.
-pub async fn run_until<F: Future>(
-    clock: Clock,
-    deadline: MonotonicMicros,
+/// Runs a future while it is allowed to go on, which is checked before each of its steps. Returns `None` if it is not; the
+/// future is then dropped. Nothing wakes a waiting future when it is no longer allowed.
+pub async fn run_while<F: Future>(
+    mut is_allowed: impl FnMut() -> bool,
     future: F,
 ) -> Option<F::Output> {
     let mut future = pin!(future);
-    let mut timer = pin!(tokio::time::sleep_until(clock.instant(deadline)));
     std::future::poll_fn(|context| {
-        if clock.now() > deadline {
+        if !is_allowed() {
             return Poll::Ready(None);
         }
-        if let Poll::Ready(output) = future.as_mut().poll(context) {
-            return Poll::Ready(Some(output));
-        }
-        timer.as_mut().poll(context).map(|()| None)
+        future.as_mut().poll(context).map(Some)
     })
     .await
 }
 
+/// Runs a future until a deadline. Returns `None` if the future is not complete by then; it is then dropped, and no step of it
+/// has begun after the deadline.
+pub async fn run_until<F: Future>(
+    clock: Clock,
+    deadline: MonotonicMicros,
+    future: F,
+) -> Option<F::Output> {
+    let in_time = run_while(|| clock.now() <= deadline, future);
+    let limited = tokio::time::timeout_at(clock.instant(deadline), in_time);
+    limited.await.ok().flatten()
+}
+
 #[cfg(test)]
 mod tests;
