Parse an event of a continued stream as an object, so that no other JSON ends the node

Cause: the transcript indexed the parsed value for writing, which panics in serde_json unless the value is an object or null. Sums of the usage were unchecked.

Change: an event is parsed once into an object; anything else is no chunk, is forwarded unchanged and makes the stream one that is not continued again. Fields are written by get_mut and insert, sums saturate. Rewritten chunks no longer get the keys "choices" and "usage" with null where they had none.

--- a/crates/stream-recovery/src/transcript.rs
+++ b/crates/stream-recovery/src/transcript.rs
@@ -219,7 +219,8 @@
             output.extend_from_slice(event);
             return;
         }
-        let Ok(mut chunk) = serde_json::from_str::<Value>(&data) else {
+        // An event whose JSON is not an object is no chunk and is forwarded unchanged.
+        let Ok(mut chunk) = serde_json::from_str::<Map<String, Value>>(&data) else {
             if !data.is_empty() {
                 self.obstacle.get_or_insert(ContinuationObstacle::NotAChunk);
             }
@@ -233,22 +234,23 @@
         }
         self.rewrite_chunk(&mut chunk);
         if !is_empty_chunk(&chunk) {
-            output.extend_from_slice(format!("data: {chunk}\n\n").as_bytes());
+            output.extend_from_slice(format_event(chunk).as_bytes());
         }
     }
 
-    fn record_chunk(&mut self, chunk: &Value) {
-        let identity = || IDENTITY_KEYS.map(|key| chunk[key].clone());
+    fn record_chunk(&mut self, chunk: &Map<String, Value>) {
+        let identity = || IDENTITY_KEYS.map(|key| chunk.get(key).cloned().unwrap_or_default());
         self.identity.get_or_insert_with(identity);
         if chunk.get("error").is_some() {
             self.obstacle
                 .get_or_insert(ContinuationObstacle::ErrorInResponse);
         }
-        self.has_chunks |= chunk["choices"].is_array();
-        for choice in chunk["choices"].as_array().into_iter().flatten() {
+        let choices = chunk.get("choices").and_then(Value::as_array);
+        self.has_chunks |= choices.is_some();
+        for choice in choices.into_iter().flatten() {
             self.record_choice(choice);
         }
-        if !chunk["usage"].is_null() {
+        if chunk.get("usage").is_some_and(|usage| !usage.is_null()) {
             self.progress = self.progress.max(StreamProgress::Usage);
         }
         if self.text.len() > MAX_TEXT_BYTES {
@@ -281,20 +283,21 @@
     }
 
     /// Rewrites a chunk of a later replica to continue the response of the first.
-    fn rewrite_chunk(&self, chunk: &mut Value) {
+    fn rewrite_chunk(&self, chunk: &mut Map<String, Value>) {
         if let Some(identity) = &self.identity {
             for (key, value) in IDENTITY_KEYS.into_iter().zip(identity) {
                 if !value.is_null() {
-                    chunk[key] = value.clone();
+                    chunk.insert(key.into(), value.clone());
                 }
             }
         }
-        for choice in chunk["choices"].as_array_mut().into_iter().flatten() {
-            if let Some(delta) = choice["delta"].as_object_mut() {
+        let choices = chunk.get_mut("choices").and_then(Value::as_array_mut);
+        for choice in choices.into_iter().flatten() {
+            if let Some(delta) = choice.get_mut("delta").and_then(Value::as_object_mut) {
                 remove_opening_fields(delta);
             }
         }
-        if let Some(usage) = chunk["usage"].as_object_mut() {
+        if let Some(usage) = chunk.get_mut("usage").and_then(Value::as_object_mut) {
             self.rewrite_usage(usage);
         }
     }
@@ -306,10 +309,13 @@
         let completion = number("completion_tokens");
         if let (Some(prompt), Some(completion)) = (prompt, completion) {
             let prompt = prompt.saturating_sub(self.earlier_epoch_tokens);
-            let completion = completion + self.earlier_epoch_tokens;
+            let completion = completion.saturating_add(self.earlier_epoch_tokens);
             usage.insert("prompt_tokens".into(), json!(prompt));
             usage.insert("completion_tokens".into(), json!(completion));
-            usage.insert("total_tokens".into(), json!(prompt + completion));
+            usage.insert(
+                "total_tokens".into(),
+                json!(prompt.saturating_add(completion)),
+            );
         }
     }
 
@@ -337,9 +343,11 @@
         let mut events = String::new();
         if self.progress == StreamProgress::Text {
             let choices = json!([{"index": 0, "delta": {}, "finish_reason": "length"}]);
-            let mut chunk = json!({"object": "chat.completion.chunk", "choices": choices});
+            let mut chunk = Map::new();
+            chunk.insert("object".into(), json!("chat.completion.chunk"));
+            chunk.insert("choices".into(), choices);
             self.rewrite_chunk(&mut chunk);
-            events = format!("data: {chunk}\n\n");
+            events = format_event(chunk);
         }
         if self.progress < StreamProgress::Done {
             events.push_str("data: [DONE]\n\n");
@@ -399,11 +407,17 @@
 }
 
 /// Whether a chunk has neither text, nor a finish reason, nor usage.
-fn is_empty_chunk(chunk: &Value) -> bool {
+fn is_empty_chunk(chunk: &Map<String, Value>) -> bool {
     let is_empty_choice = |choice: &Value| {
         let delta = choice["delta"].as_object();
         delta.is_none_or(Map::is_empty) && choice["finish_reason"].is_null()
     };
-    let choices = chunk["choices"].as_array();
-    chunk["usage"].is_null() && choices.is_some_and(|choices| choices.iter().all(is_empty_choice))
+    let has_usage = chunk.get("usage").is_some_and(|usage| !usage.is_null());
+    let choices = chunk.get("choices").and_then(Value::as_array);
+    !has_usage && choices.is_some_and(|choices| choices.iter().all(is_empty_choice))
+}
+
+/// Formats a chunk as an event.
+fn format_event(chunk: Map<String, Value>) -> String {
+    format!("data: {}\n\n", Value::Object(chunk))
 }
--- a/crates/stream-recovery/tests/transcript.rs
+++ b/crates/stream-recovery/tests/transcript.rs
@@ -102,7 +102,8 @@
     let mut forwarded = Vec::new();
     for length in piece_lengths.iter().cycle() {
         let (piece, after) = remaining.split_at((*length).min(remaining.len()));
-        forwarded.extend(transcript.forward(0, piece).bytes);
+        let epoch = transcript.epoch();
+        forwarded.extend(transcript.forward(epoch, piece).bytes);
         remaining = after;
         if remaining.is_empty() {
             break;
@@ -111,6 +112,66 @@
     forwarded
 }
 
+/// Any JSON, with the keys that transcripts read.
+fn any_json() -> impl Strategy<Value = Value> {
+    let key = prop::sample::select(vec![
+        "choices",
+        "delta",
+        "content",
+        "usage",
+        "index",
+        "id",
+        "model",
+        "created",
+        "error",
+        "finish_reason",
+        "prompt_tokens",
+        "completion_tokens",
+        "tool_calls",
+        "role",
+    ]);
+    let scalar = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(|value| json!(value)),
+        any::<u64>().prop_map(|value| json!(value)),
+        "[a-z]{0,5}".prop_map(|value| json!(value)),
+    ];
+    scalar.prop_recursive(4, 24, 4, move |inner| {
+        let object = prop::collection::btree_map(key.clone(), inner.clone(), 0..4);
+        prop_oneof![
+            prop::collection::vec(inner, 0..4).prop_map(Value::from),
+            object.prop_map(|object| json!(object)),
+        ]
+    })
+}
+
+/// Guards against an event that ends the process: the JSON of an event of a later replica was taken for an object, and its
+/// fields for objects, arrays and small numbers.
+#[test]
+fn event_of_a_later_replica_may_be_any_json() {
+    let big = json!({"prompt_tokens": u64::MAX, "completion_tokens": u64::MAX});
+    let events = [
+        json!(8413),
+        json!("text"),
+        json!([]),
+        json!(null),
+        json!({"choices": [8413, null, "text", {"delta": 3}]}),
+        json!({"choices": 3, "usage": 4}),
+        json!({"choices": [], "usage": big}),
+    ];
+    for event in events {
+        let mut transcript = StreamTranscript::default();
+        transcript.forward(0, text_event("one", "ab ").as_bytes());
+        transcript.begin_epoch();
+        transcript.forward(1, format!("data: {event}\n\n").as_bytes());
+        let rest = text_event("two", "cd ") + END_OF_STREAM;
+        let forwarded = transcript.forward(1, rest.as_bytes()).bytes;
+        let forwarded = String::from_utf8(forwarded).unwrap();
+        assert!(forwarded.contains("cd "), "after {event}: {forwarded}");
+        assert_eq!(transcript.progress(), StreamProgress::Done, "after {event}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -135,4 +196,26 @@
             prop_assert_eq!(whole.progress(), pieces.progress());
         }
     }
+
+    /// No event, in whichever pieces it comes and of whichever replica, causes a panic.
+    #[test]
+    fn no_event_of_any_replica_causes_a_panic(
+        events in prop::collection::vec((any_json(), any::<bool>()), 1..12),
+        piece_lengths in prop::collection::vec(1..40_usize, 1..60),
+        request in any_json(),
+    ) {
+        let mut transcript = StreamTranscript::default();
+        transcript.forward(0, text_event("one", "ab ").as_bytes());
+        let request = request.to_string().into_bytes();
+        for (event, begins_epoch) in events {
+            if begins_epoch {
+                transcript.begin_epoch();
+            }
+            let bytes = format!("data: {event}\n\n").into_bytes();
+            forward_in_pieces(&mut transcript, &bytes, &piece_lengths);
+            transcript.is_text_complete(&request);
+            transcript.closing_events();
+            let _ = transcript.continuation_request(&request);
+        }
+    }
 }
