--- a/tests/foreign_stream_events.rs
+++ b/tests/foreign_stream_events.rs
@@ -49,11 +49,8 @@
 fn read_stream(client: &mut TcpStream) -> String {
     let mut response = Vec::new();
     let mut buffer = [0; 4096];
-    loop {
-        match read_some(client, &mut buffer) {
-            Ok(length @ 1..) => response.extend_from_slice(&buffer[..length]),
-            Ok(0) | Err(_) => break,
-        }
+    while let Ok(length @ 1..) = read_some(client, &mut buffer) {
+        response.extend_from_slice(&buffer[..length]);
         if response.ends_with(LAST_CHUNK.as_bytes()) {
             break;
         }
