Review cases 6 and 7: a node of a large fleet stands still while discovery is down

Tried: one node, 3,200 model servers that answer after 1 s, discovery down for 8 s, 80 requests a second.

--- a/review/common-2/harness.rs
+++ b/review/common-2/harness.rs
@@ -201,7 +201,16 @@
     for (variable, value) in environment {
         command.env(variable, value);
     }
-    // A node must not outlive the case, however that ends.
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+    let child = start_child(name, command);
+    let id = child.id();
+    keep_child(name, child);
+    note(&format!("started node {name}, process {id}"));
+    id
+}
+
+/// Starts a process that does not outlive the case, however that ends.
+pub fn start_child(name: &str, mut command: Command) -> Child {
     let set_death_signal = || {
         // SAFETY: prctl(PR_SET_PDEATHSIG, SIGKILL) takes plain numbers and changes only the calling process.
         unsafe { prctl(1, 9, 0, 0, 0) };
@@ -209,18 +218,17 @@
     };
     // SAFETY: the closure makes one system call and neither allocates nor takes locks.
     unsafe { command.pre_exec(set_death_signal) };
-    let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
-    match child {
-        Ok(child) => {
-            let id = child.id();
-            lock(&case().children).push((name.to_string(), child));
-            note(&format!("started node {name}, process {id}"));
-            id
-        }
-        Err(error) => end(COULD_NOT_RUN, &format!("node {name} did not start: {error}")),
+    match command.spawn() {
+        Ok(child) => child,
+        Err(error) => end(COULD_NOT_RUN, &format!("{name} did not start: {error}")),
     }
 }
 
+/// Hands a process over to the case, which kills it at its end.
+pub fn keep_child(name: &str, child: Child) {
+    lock(&case().children).push((name.to_string(), child));
+}
+
 /// Sends a signal to a process that this case started.
 pub fn signal(process: u32, signal: &str) {
     let sent = Command::new("/bin/sh").arg("-c").arg(format!("kill -{signal} {process}")).status();
@@ -526,6 +534,8 @@
 struct DiscoveryState {
     version: u64,
     entries: Vec<Entry>,
+    /// While this is set, connections are closed and new ones get no answer.
+    is_down: bool,
 }
 
 /// A stand-in for discovery: lists and watches as the protocol page describes them.
@@ -537,7 +547,7 @@
 
 impl Discovery {
     pub fn start(entries: Vec<Entry>) -> Discovery {
-        let state = DiscoveryState { version: 1, entries };
+        let state = DiscoveryState { version: 1, entries, is_down: false };
         let discovery = Discovery {
             address: free_address(),
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -546,7 +556,9 @@
         serve(discovery.address, move |mut stream| {
             let mut pending = Vec::new();
             while let Some(call) = read_message(&mut stream, &mut pending) {
-                let body = serving.answer(call.path());
+                let Some(body) = serving.answer(call.path()) else {
+                    return;
+                };
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
                 if stream.write_all(format!("{head}{body}").as_bytes()).is_err() {
                     return;
@@ -575,7 +587,20 @@
         self.state.1.notify_all();
     }
 
-    fn answer(&self, path: &str) -> String {
+    /// Discovery is down: watches end, and calls end without an answer.
+    pub fn go_down(&self) {
+        lock(&self.state.0).is_down = true;
+        self.state.1.notify_all();
+        note("discovery is down");
+    }
+
+    pub fn come_back(&self) {
+        lock(&self.state.0).is_down = false;
+        note("discovery is back");
+    }
+
+    /// The answer to a call; `None` if discovery is down.
+    fn answer(&self, path: &str) -> Option<String> {
         let query = path.split_once('?').map_or("", |(_, query)| query);
         let value = |key: &str| -> Option<u64> {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -583,18 +608,21 @@
         };
         let mut state = lock(&self.state.0);
         let Some(since) = value("since").filter(|since| *since > 0) else {
-            return list_json(state.version, true, &state.entries);
+            return (!state.is_down).then(|| list_json(state.version, true, &state.entries));
         };
         let deadline = Instant::now() + Duration::from_millis(value("timeout_ms").unwrap_or(0).min(60_000));
-        while state.version <= since && Instant::now() < deadline {
+        while state.version <= since && Instant::now() < deadline && !state.is_down {
             let left = deadline - Instant::now();
             state = self.state.1.wait_timeout(state, left).map_or_else(|poisoned| poisoned.into_inner().0, |woken| woken.0);
         }
+        if state.is_down {
+            return None;
+        }
         if since > state.version {
-            return list_json(state.version, true, &state.entries);
+            return Some(list_json(state.version, true, &state.entries));
         }
         let changed: Vec<Entry> = state.entries.iter().filter(|entry| entry.version > since).cloned().collect();
-        list_json(state.version, false, &changed)
+        Some(list_json(state.version, false, &changed))
     }
 }
 
@@ -666,7 +694,12 @@
 
     /// Writes the node's configuration.
     pub fn write_config(&self, position: usize, balancers: usize, discovery: &Discovery) {
-        let settings = SETTINGS.replace("BALANCERS", &balancers.to_string()).replace("ME", &position.to_string());
+        self.write_config_with(position, balancers, discovery, SETTINGS);
+    }
+
+    /// Writes the node's configuration with these settings, in which BALANCERS and ME are replaced.
+    pub fn write_config_with(&self, position: usize, balancers: usize, discovery: &Discovery, settings: &str) {
+        let settings = settings.replace("BALANCERS", &balancers.to_string()).replace("ME", &position.to_string());
         let config = format!(
             r#"{{"name":"{}","listen":"{}","admin":"{}","discovery":"{}","seed":"{}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},"settings":{settings}}}"#,
             self.name, self.listen, self.admin, discovery.address, position + 7, discovery.list()
@@ -696,6 +729,11 @@
         ])
     }
 
+    /// Starts the node's process without an operators' file.
+    pub fn start_alone(&self) -> u32 {
+        start_node(&self.name, &[("GW_CONFIG", self.path("json").display().to_string())])
+    }
+
     /// Whether the node says that it is ready at the clients' address; `None` if it does not answer.
     pub fn health(&self) -> Option<u16> {
         call(self.listen, "GET /healthz", 1.0).map(|answer| answer.status)
@@ -778,6 +816,16 @@
     }
 }
 
+/// Writes to the record the last lines of a node's log that hold this text, and their number.
+pub fn note_log_lines(node: &FleetNode, text: &str) {
+    let log = fs::read_to_string(node.path("log")).unwrap_or_default();
+    let lines: Vec<&str> = log.lines().filter(|line| line.contains(text)).collect();
+    note(&format!("{} lines of the log of {} hold \"{text}\"", lines.len(), node.name));
+    for line in lines.iter().rev().take(3).rev() {
+        note(&format!("log: {line}"));
+    }
+}
+
 pub fn write_file(path: PathBuf, text: &str) {
     if let Err(error) = fs::write(&path, text) {
         end(COULD_NOT_RUN, &format!("{} cannot be written: {error}", path.display()));
