--- a/review/common-2/harness.rs
+++ b/review/common-2/harness.rs
@@ -168,7 +168,7 @@
 // --------------------------------------------------------------------------------------------------------------- processes
 
 extern "C" {
-    fn prctl(option: i32, argument2: u64, argument3: u64, argument4: u64, argument5: u64) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// The command of `run` in the deploy file.
@@ -213,7 +213,7 @@
 pub fn start_child(name: &str, mut command: Command) -> Child {
     let set_death_signal = || {
         // SAFETY: prctl(PR_SET_PDEATHSIG, SIGKILL) takes plain numbers and changes only the calling process.
-        unsafe { prctl(1, 9, 0, 0, 0) };
+        unsafe { prctl(1, 9u64, 0u64, 0u64, 0u64) };
         Ok(())
     };
     // SAFETY: the closure makes one system call and neither allocates nor takes locks.
