The review's shared file stands beside the cases, not in a folder of its own

review/common-2/harness.rs is review/harness-2.rs now, so that each numbered folder of the review is a case. The text of the file and of the cases is the same but for the path.

--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,7 +1,7 @@
 //! One of three model servers hangs (its process is stopped) while keyed requests with long bodies are sent, and goes on
 //! later. Judged by the model servers' own record of when each request's last byte came.
 
-#[path = "../common-2/harness.rs"]
+#[path = "../harness-2.rs"]
 mod harness;
 
 use harness::*;
