Log a replica connection that is closed while bytes of its request are unsent

A completed write only means that the kernel has accepted the bytes.

Change: the package poppykeel-send-queue reads the send queue of a TCP socket, and a connection to a replica that is dropped with unacknowledged bytes logs how many were unsent and unacknowledged. Nothing else changes.

--- a/src/transport/replica/pool.rs
+++ b/src/transport/replica/pool.rs
@@ -55,6 +55,23 @@
     }
 }
 
+impl Drop for ReplicaConnection {
+    /// Logs a request that is given up before the replica's machine has taken it.
+    fn drop(&mut self) {
+        let socket = self.http.get_ref();
+        let queue = socket.send_queue();
+        if queue.unacknowledged_bytes == 0 {
+            return;
+        }
+        tracing::info!(
+            to = socket.peer_addr().ok().map(tracing::field::display),
+            unsent_bytes = queue.unsent_bytes,
+            unacknowledged_bytes = queue.unacknowledged_bytes,
+            "connection to a replica closed before all bytes were acknowledged"
+        );
+    }
+}
+
 /// A permit for one open connection; dropping it frees the place.
 struct ConnectionPermit(Rc<RefCell<usize>>);
 
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -4,6 +4,7 @@
 //! All connections of clients and replicas use it. It owns the descriptor; dropping it closes the connection.
 
 use crate::protocol::request::MAX_BODY_BYTES;
+use poppykeel_send_queue::SendQueue;
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -107,6 +108,20 @@
         self.0.local_addr()
     }
 
+    /// The peer's address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has ended.
+    pub fn peer_addr(&self) -> io::Result<std::net::SocketAddr> {
+        self.0.peer_addr()
+    }
+
+    /// The bytes that were written but not sent or not acknowledged yet. Empty if the system does not report them.
+    pub fn send_queue(&self) -> SendQueue {
+        SendQueue::read(&self.0).unwrap_or_default()
+    }
+
     /// Reads and discards input, up to a limit, until the peer has closed its end. Closing with unread bytes would reset the
     /// connection, and the peer would lose the end of the last response.
     pub async fn discard_input(&mut self) {
