Reset a replica connection that is given up, so that the kernel delivers no rest of its request

Cause: an attempt is given up by dropping its socket. Ruled out: a write after the write deadline, and a whole request in the replica's receive buffer.

Change: a connection in use is told at once to reset on its close (SO_LINGER of 0), so it holds however it ends: an abandoned attempt, a deadline, a stalled or broken answer, a probe that takes too long, a killed process. It becomes idle only through ReplicaConnection::into_idle, which asks that the last response is complete and the last request is taken, and closes in order from then on. Before, a connection whose replica had declined a request that it had not read was used again.

--- a/src/transport/dispatcher/in_flight.rs
+++ b/src/transport/dispatcher/in_flight.rs
@@ -11,7 +11,7 @@
     pub(super) replica: ReplicaId,
     /// Set by the task immediately before it writes the first byte.
     pub(super) has_begun: Rc<Cell<bool>>,
-    /// Aborting the task closes the connection.
+    /// Aborting the task resets the connection.
     pub(super) task: AbortHandle,
 }
 
@@ -31,7 +31,7 @@
         self.attempts.remove(&id);
     }
 
-    /// Aborts the task of an attempt, which closes its connection. Does nothing if the attempt has reported its outcome.
+    /// Aborts the task of an attempt, which resets its connection. Does nothing if the attempt has reported its outcome.
     pub(super) fn abort(&mut self, id: AttemptId) {
         if let Some(attempt) = self.attempts.remove(&id) {
             attempt.task.abort();
--- a/src/transport/replica/attempts.rs
+++ b/src/transport/replica/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts: one request sent to one replica, and its response forwarded to the client.
 //!
 //! The dispatcher starts a task with [`ReplicaClient::run_attempt`] for each attempt. The task owns the connection. An
-//! attempt is abandoned by aborting its task: that closes the connection at any stage of the attempt, so that no late byte
+//! attempt is abandoned by aborting its task: that resets the connection at any stage of the attempt, so that no late byte
 //! of it can reach another request.
 //!
 //! Invariants:
@@ -11,7 +11,8 @@
 //!   its clock and writing.
 //! - The outcome is reported to the dispatcher before the connection is released.
 
-use super::pool::{ConnectError, ConnectionPool, ReplicaAddress, ReplicaConnection};
+use super::connection::ReplicaConnection;
+use super::pool::{ConnectError, ConnectionPool, ReplicaAddress};
 use super::stream_monitor::{MonitoredStream, StreamMonitor};
 use crate::protocol::http::{EncodedMessage, HttpParseError, MessagePart};
 use crate::protocol::request;
--- a/src/transport/replica/pool.rs
+++ b/src/transport/replica/pool.rs
@@ -1,22 +1,20 @@
 //! The pool of connections to replicas. Their number is bounded, and the most recently used idle connection is reused first.
 //!
 //! [`attempts`](super::attempts) and [`probes`](super::probes) acquire connections here and release them after a complete
-//! response. A connection in use belongs to the task that acquired it; dropping it closes the socket and frees its permit.
+//! response. A connection in use belongs to the task that acquired it; dropping it resets the connection and frees its permit
+//! ([`connection`](super::connection)).
 //! `program::serve` periodically closes expired idle connections.
 
-use crate::protocol::http::{HttpCodec, Role};
-use crate::transport::HttpConnection;
+use super::connection::{ConnectionPermit, IdleConnection, ReplicaConnection};
 use poppykeel_scheduler::ReplicaId;
 use rustix::io::Errno;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
-use tokio_util::codec::Framed;
 
 /// A replica and the address where it listens. Together they identify the pool entry: a new replica may listen at the
 /// address of a removed one, and a replica may move to another address; neither may reuse the earlier connections.
@@ -28,59 +26,6 @@
     pub addr: SocketAddr,
 }
 
-/// A connection to a replica, with its permit.
-pub struct ReplicaConnection {
-    http: HttpConnection,
-    _permit: ConnectionPermit,
-}
-
-impl ReplicaConnection {
-    /// The socket with its codec.
-    pub fn http(&self) -> &HttpConnection {
-        &self.http
-    }
-
-    /// The socket with its codec, for reading and writing.
-    pub fn http_mut(&mut self) -> &mut HttpConnection {
-        &mut self.http
-    }
-
-    /// Whether no bytes have arrived since the last response. A connection with bytes between two responses has ended or is
-    /// out of sync. This queries the kernel, since the runtime may not have seen the bytes yet, and a second response must
-    /// not be taken for that of the next request.
-    fn is_quiet(&self) -> bool {
-        let unread = self.http.get_ref().unread();
-        self.http.read_buffer().is_empty()
-            && unread.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-    }
-}
-
-impl Drop for ReplicaConnection {
-    /// Logs a request that is given up before the replica's machine has taken it.
-    fn drop(&mut self) {
-        let socket = self.http.get_ref();
-        let queue = socket.send_queue();
-        if queue.unacknowledged_bytes == 0 {
-            return;
-        }
-        tracing::info!(
-            to = socket.peer_addr().ok().map(tracing::field::display),
-            unsent_bytes = queue.unsent_bytes,
-            unacknowledged_bytes = queue.unacknowledged_bytes,
-            "connection to a replica closed before all bytes were acknowledged"
-        );
-    }
-}
-
-/// A permit for one open connection; dropping it frees the place.
-struct ConnectionPermit(Rc<RefCell<usize>>);
-
-impl Drop for ConnectionPermit {
-    fn drop(&mut self) {
-        *self.0.borrow_mut() -= 1;
-    }
-}
-
 /// Why no connection to a replica could be acquired.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ConnectError {
@@ -97,7 +42,7 @@
     idle_since: Instant,
     /// The connection is not reused before this time.
     reusable_at: Instant,
-    connection: ReplicaConnection,
+    connection: IdleConnection,
 }
 
 /// A wait until a connection may be reused. Dropping it returns the connection to the pool: many clients may disconnect
@@ -128,7 +73,7 @@
 #[derive(Clone)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<BTreeMap<ReplicaAddress, PooledConnections>>>,
-    open_count: Rc<RefCell<usize>>,
+    open_count: Rc<Cell<usize>>,
     max_open: usize,
     connect_timeout: Duration,
     idle_timeout: Duration,
@@ -162,7 +107,7 @@
         while let Some(idle) = self.take_idle(address) {
             let reusable_at = idle.reusable_at;
             if reusable_at <= Instant::now() {
-                return Ok(idle.connection);
+                return Ok(idle.connection.into_active());
             }
             let mut wait = ReuseWait {
                 pool: self,
@@ -172,7 +117,7 @@
             tokio::time::sleep_until(reusable_at).await;
             if let Some(idle) = wait.idle.take() {
                 if idle.connection.is_quiet() {
-                    return Ok(idle.connection);
+                    return Ok(idle.connection.into_active());
                 }
             }
         }
@@ -181,16 +126,12 @@
 
     /// Opens a connection. At the limit, closes the connection that has been idle longest to make room.
     async fn connect(&self, addr: SocketAddr) -> Result<ReplicaConnection, ConnectError> {
-        if *self.open_count.borrow() >= self.max_open && !self.close_oldest_idle() {
+        if self.open_count() >= self.max_open && !self.close_oldest_idle() {
             return Err(ConnectError::Exhausted);
         }
-        *self.open_count.borrow_mut() += 1;
-        let permit = ConnectionPermit(self.open_count.clone());
+        let permit = ConnectionPermit::new(&self.open_count);
         match tokio::time::timeout(self.connect_timeout, TcpStream::connect(addr)).await {
-            Ok(Ok(socket)) => Ok(ReplicaConnection {
-                http: Framed::new(socket.into(), HttpCodec::new(Role::Client)),
-                _permit: permit,
-            }),
+            Ok(Ok(stream)) => Ok(ReplicaConnection::new(stream, permit)),
             Ok(Err(e)) if is_local_failure(&e) => {
                 tracing::debug!(why = %e, to = %addr, "connecting to a replica failed for a local reason");
                 Err(ConnectError::Exhausted)
@@ -220,17 +161,17 @@
         }
     }
 
-    /// Returns a connection to the pool after its response. It is not reused within `reuse_delay`. A connection that is in
-    /// the middle of a response or has unread bytes is closed instead.
+    /// Returns a connection to the pool after its response. It is not reused within `reuse_delay`. A connection that can't be
+    /// used again is reset instead.
     pub fn release(
         &self,
         address: ReplicaAddress,
         connection: ReplicaConnection,
         reuse_delay: Duration,
     ) {
-        if !connection.http.codec().is_between_messages() || !connection.is_quiet() {
+        let Some(connection) = connection.into_idle() else {
             return;
-        }
+        };
         let idle_since = Instant::now();
         let idle = PooledConnection {
             idle_since,
@@ -268,7 +209,7 @@
 
     /// Number of open connections, in use or idle.
     pub fn open_count(&self) -> usize {
-        *self.open_count.borrow()
+        self.open_count.get()
     }
 }
 
--- a/src/transport/replica/probes.rs
+++ b/src/transport/replica/probes.rs
@@ -4,7 +4,8 @@
 //! connection; dropping the task closes it.
 
 use super::attempts::{write_request, ReplicaClient};
-use super::pool::{ReplicaAddress, ReplicaConnection};
+use super::connection::ReplicaConnection;
+use super::pool::ReplicaAddress;
 use crate::protocol::http::{MessagePart, StartLine};
 use crate::protocol::load_report::{parse_load_report, probe_outcome};
 use crate::protocol::request;
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -9,6 +9,7 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, Interest, ReadBuf, Ready};
 use tokio::net::TcpStream;
 
@@ -19,6 +20,15 @@
 /// Maximum number of bytes discarded at once.
 const DISCARD_BUFFER_BYTES: usize = 4096;
 
+/// What the kernel does when a socket is closed, also by the end of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseMode {
+    /// It resets the connection and discards the bytes that it has not sent.
+    Reset,
+    /// It goes on sending the bytes that were written, then closes the connection.
+    Orderly,
+}
+
 /// A connected socket.
 #[derive(Debug)]
 pub struct Socket(TcpStream);
@@ -117,6 +127,17 @@
         self.0.peer_addr()
     }
 
+    /// Sets what happens when the socket is closed; [`CloseMode::Orderly`] at first.
+    pub fn set_close_mode(&self, mode: CloseMode) {
+        let linger = match mode {
+            CloseMode::Reset => Some(Duration::ZERO),
+            CloseMode::Orderly => None,
+        };
+        if let Err(e) = socket2::SockRef::from(&self.0).set_linger(linger) {
+            tracing::debug!(why = %e, ?mode, "the close mode of a connection can't be set");
+        }
+    }
+
     /// The bytes that were written but not sent or not acknowledged yet. Empty if the system does not report them.
     pub fn send_queue(&self) -> SendQueue {
         SendQueue::read(&self.0).unwrap_or_default()
