--- a/src/transport/replica/attempts.rs
+++ b/src/transport/replica/attempts.rs
@@ -13,14 +13,15 @@
 
 use super::connection::ReplicaConnection;
 use super::pool::{ConnectError, ConnectionPool, ReplicaAddress};
-use super::stream_monitor::{MonitoredStream, StreamMonitor};
-use crate::protocol::http::{EncodedMessage, HttpParseError, MessagePart};
+use super::response_forwarder::{ReplicaInput, ResponseForwarder};
+use super::stream_monitor::StreamMonitor;
+use crate::protocol::http::{EncodedMessage, HttpParseError};
 use crate::protocol::request;
-use crate::protocol::response::{ResponseReader, ResponseStep};
+use crate::protocol::response::ResponseStep;
 use crate::routing::cross_zone::{CrossZoneTraffic, RequestGroup};
 use crate::routing::{DurationMicros, MonotonicMicros};
 use crate::transport::clock::Clock;
-use crate::transport::messages::{DispatcherMessage, RequestPayload, StartedStream, StreamChunk};
+use crate::transport::messages::{DispatcherMessage, RequestPayload};
 use crate::transport::strict_timeout::run_until;
 use crate::transport::suspension_detector::SuspensionDetector;
 use crate::transport::TransportLimits;
@@ -31,13 +32,10 @@
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc::{self, error::TrySendError};
+use tokio::sync::mpsc;
 
 /// A request is written in pieces of at most this size, so that buffers do not grow with the body.
 const WRITE_SIZE_BYTES: usize = 16 * 1024;
-/// Number of chunks of a stream buffered for the client. If the channel is full, the attempt waits and does not read from
-/// the replica.
-const STREAM_CHANNEL_CAPACITY: usize = 4;
 /// After an attempt has ended, the remainder of its response is read for up to this time, so that the connection can be
 /// reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -50,7 +48,7 @@
     pub(super) dispatcher: mpsc::Sender<DispatcherMessage>,
     pub(super) site: Rc<SiteSettings>,
     pub(super) limits: Rc<TransportLimits>,
-    stream_monitor: Rc<StreamMonitor>,
+    pub(super) stream_monitor: Rc<StreamMonitor>,
     /// Number of attempts since the start whose request has been written completely.
     sent_count: Rc<Cell<u64>>,
     /// Counts the attempts at replicas in another zone whose request has been written completely.
@@ -59,7 +57,7 @@
     is_list_confirmed: Rc<Cell<bool>>,
     /// Detects a suspension that the dispatcher has not handled yet.
     suspension_detector: SuspensionDetector,
-    clock: Clock,
+    pub(super) clock: Clock,
 }
 
 /// An attempt to be made.
@@ -323,132 +321,6 @@
     }
 }
 
-/// The next input from a replica's connection.
-enum ReplicaInput {
-    /// A part of the response.
-    Part(MessagePart),
-    /// The connection has ended or failed, or its bytes are not valid HTTP.
-    Broken,
-    /// No bytes have arrived for longer than a stream of this replica may be silent.
-    Stalled { silence_us: DurationMicros },
-}
-
-/// Forwards the response of one attempt to the client.
-struct ResponseForwarder<'a> {
-    client: &'a ReplicaClient,
-    attempt: &'a AttemptRequest,
-    reader: ResponseReader,
-    /// Whether the replica keeps the connection open after the response.
-    keeps_connection: bool,
-    /// Sender of the stream's chunks; `None` before the first token.
-    chunks: Option<mpsc::Sender<StreamChunk>>,
-    /// The stream in the monitor; `None` before the first token.
-    stream: Option<MonitoredStream>,
-}
-
-impl<'a> ResponseForwarder<'a> {
-    fn new(client: &'a ReplicaClient, attempt: &'a AttemptRequest) -> Self {
-        ResponseForwarder {
-            client,
-            attempt,
-            reader: ResponseReader::new(client.site.clone()),
-            keeps_connection: false,
-            chunks: None,
-            stream: None,
-        }
-    }
-
-    /// Reads the next input, for as long as the stream may be silent. Cancel-safe: the codec keeps what it has read.
-    async fn read(&self, connection: &mut ReplicaConnection) -> ReplicaInput {
-        let next = connection.http_mut().next();
-        let silence_limit = self
-            .stream
-            .as_ref()
-            .and_then(MonitoredStream::time_to_stall);
-        let part = match silence_limit {
-            None => next.await,
-            Some(silence_us) => {
-                let limit = Duration::from_micros(silence_us);
-                match tokio::time::timeout(limit, next).await {
-                    Ok(part) => part,
-                    Err(_) => return ReplicaInput::Stalled { silence_us },
-                }
-            }
-        };
-        match part {
-            Some(Ok(part)) => ReplicaInput::Part(part),
-            Some(Err(_)) | None => ReplicaInput::Broken,
-        }
-    }
-
-    /// Processes a part of the response and appends the resulting steps.
-    fn handle_part(&mut self, part: MessagePart, steps: &mut Vec<ResponseStep>) {
-        if let Some(stream) = &self.stream {
-            stream.record_event();
-        }
-        if let MessagePart::Head(head) = &part {
-            self.keeps_connection = head.keeps_connection;
-            let AttemptRequest {
-                request, attempt, ..
-            } = self.attempt;
-            let from = self.attempt.address.addr;
-            tracing::debug!(%request, attempt, %from, start = ?head.start_line, "response begins");
-        }
-        self.reader.feed(part, steps);
-    }
-
-    /// Offers the stream to the dispatcher once its first token has arrived.
-    async fn start_stream(&mut self, content_type: String) {
-        let (chunk_sender, chunks) = mpsc::channel(STREAM_CHANNEL_CAPACITY);
-        self.chunks = Some(chunk_sender);
-        let replica = self.attempt.address.replica;
-        let objective = self.attempt.inter_token_objective;
-        self.stream = Some(self.client.stream_monitor.begin_stream(replica, objective));
-        let started = DispatcherMessage::StreamStarted(StartedStream {
-            request: self.attempt.request,
-            attempt: self.attempt.attempt,
-            content_type,
-            replica,
-            chunks,
-        });
-        // The channel is closed only after the node has ended; the stream is then not needed.
-        let _ = self.client.dispatcher.send(started).await;
-    }
-
-    /// Forwards bytes to the client. While the client does not keep up, the silence is not counted against the replica.
-    async fn forward(&self, bytes: Bytes) {
-        let Some(chunks) = &self.chunks else {
-            return;
-        };
-        if let Err(TrySendError::Full(chunk)) = chunks.try_send(StreamChunk::Bytes(bytes)) {
-            if let Some(stream) = &self.stream {
-                stream.client_blocked();
-            }
-            // Sending fails if the client has disconnected; the dispatcher aborts this attempt.
-            let _ = chunks.send(chunk).await;
-            if let Some(stream) = &self.stream {
-                stream.client_resumed();
-            }
-        }
-    }
-
-    /// Ends the stream according to the attempt's outcome. Returns whether the connection can be reused.
-    async fn finish(&self, outcome: AttemptOutcome) -> bool {
-        let is_complete = outcome == AttemptOutcome::Completed;
-        let is_broken = outcome == AttemptOutcome::ConnectionReset;
-        if let (Some(chunks), true) = (&self.chunks, is_complete) {
-            // Sending fails if the client has disconnected; it does not need the end.
-            let _ = chunks.send(StreamChunk::End).await;
-        }
-        if let Some(stream) = &self.stream {
-            if is_complete || is_broken {
-                stream.end(is_complete);
-            }
-        }
-        self.keeps_connection && !is_broken
-    }
-}
-
 /// Reads a response to its end. Returns false if the connection ends first.
 async fn read_to_end(connection: &mut ReplicaConnection) -> bool {
     while !connection.http().codec().is_between_messages() {
--- /dev/null
+++ b/src/transport/replica/response_forwarder.rs
@@ -0,0 +1,147 @@
+//! Forwards the response of one attempt to the client.
+//!
+//! [`attempts`](super::attempts) reads the response part by part with one forwarder for each attempt, and ends the attempt
+//! with the outcome that the reader of the response gives.
+
+use super::attempts::{AttemptRequest, ReplicaClient};
+use super::connection::ReplicaConnection;
+use super::stream_monitor::MonitoredStream;
+use crate::protocol::http::MessagePart;
+use crate::protocol::response::{ResponseReader, ResponseStep};
+use crate::routing::DurationMicros;
+use crate::transport::messages::{DispatcherMessage, StartedStream, StreamChunk};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use poppykeel_scheduler::AttemptOutcome;
+use std::time::Duration;
+use tokio::sync::mpsc::{self, error::TrySendError};
+
+/// Number of chunks of a stream buffered for the client. If the channel is full, the attempt waits and does not read from
+/// the replica.
+const STREAM_CHANNEL_CAPACITY: usize = 4;
+
+/// The next input from a replica's connection.
+pub(super) enum ReplicaInput {
+    /// A part of the response.
+    Part(MessagePart),
+    /// The connection has ended or failed, or its bytes are not valid HTTP.
+    Broken,
+    /// No bytes have arrived for longer than a stream of this replica may be silent.
+    Stalled { silence_us: DurationMicros },
+}
+
+/// Forwards the response of one attempt to the client.
+pub(super) struct ResponseForwarder<'a> {
+    client: &'a ReplicaClient,
+    attempt: &'a AttemptRequest,
+    pub(super) reader: ResponseReader,
+    /// Whether the replica keeps the connection open after the response.
+    keeps_connection: bool,
+    /// Sender of the stream's chunks; `None` before the first token.
+    chunks: Option<mpsc::Sender<StreamChunk>>,
+    /// The stream in the monitor; `None` before the first token.
+    pub(super) stream: Option<MonitoredStream>,
+}
+
+impl<'a> ResponseForwarder<'a> {
+    pub(super) fn new(client: &'a ReplicaClient, attempt: &'a AttemptRequest) -> Self {
+        ResponseForwarder {
+            client,
+            attempt,
+            reader: ResponseReader::new(client.site.clone()),
+            keeps_connection: false,
+            chunks: None,
+            stream: None,
+        }
+    }
+
+    /// Reads the next input, for as long as the stream may be silent. Cancel-safe: the codec keeps what it has read.
+    pub(super) async fn read(&self, connection: &mut ReplicaConnection) -> ReplicaInput {
+        let next = connection.http_mut().next();
+        let silence_limit = self
+            .stream
+            .as_ref()
+            .and_then(MonitoredStream::time_to_stall);
+        let part = match silence_limit {
+            None => next.await,
+            Some(silence_us) => {
+                let limit = Duration::from_micros(silence_us);
+                match tokio::time::timeout(limit, next).await {
+                    Ok(part) => part,
+                    Err(_) => return ReplicaInput::Stalled { silence_us },
+                }
+            }
+        };
+        match part {
+            Some(Ok(part)) => ReplicaInput::Part(part),
+            Some(Err(_)) | None => ReplicaInput::Broken,
+        }
+    }
+
+    /// Processes a part of the response and appends the resulting steps.
+    pub(super) fn handle_part(&mut self, part: MessagePart, steps: &mut Vec<ResponseStep>) {
+        if let Some(stream) = &self.stream {
+            stream.record_event();
+        }
+        if let MessagePart::Head(head) = &part {
+            self.keeps_connection = head.keeps_connection;
+            let AttemptRequest {
+                request, attempt, ..
+            } = self.attempt;
+            let from = self.attempt.address.addr;
+            tracing::debug!(%request, attempt, %from, start = ?head.start_line, "response begins");
+        }
+        self.reader.feed(part, steps);
+    }
+
+    /// Offers the stream to the dispatcher once its first token has arrived.
+    pub(super) async fn start_stream(&mut self, content_type: String) {
+        let (chunk_sender, chunks) = mpsc::channel(STREAM_CHANNEL_CAPACITY);
+        self.chunks = Some(chunk_sender);
+        let replica = self.attempt.address.replica;
+        let objective = self.attempt.inter_token_objective;
+        self.stream = Some(self.client.stream_monitor.begin_stream(replica, objective));
+        let started = DispatcherMessage::StreamStarted(StartedStream {
+            request: self.attempt.request,
+            attempt: self.attempt.attempt,
+            content_type,
+            replica,
+            chunks,
+        });
+        // The channel is closed only after the node has ended; the stream is then not needed.
+        let _ = self.client.dispatcher.send(started).await;
+    }
+
+    /// Forwards bytes to the client. While the client does not keep up, the silence is not counted against the replica.
+    pub(super) async fn forward(&self, bytes: Bytes) {
+        let Some(chunks) = &self.chunks else {
+            return;
+        };
+        if let Err(TrySendError::Full(chunk)) = chunks.try_send(StreamChunk::Bytes(bytes)) {
+            if let Some(stream) = &self.stream {
+                stream.client_blocked();
+            }
+            // Sending fails if the client has disconnected; the dispatcher aborts this attempt.
+            let _ = chunks.send(chunk).await;
+            if let Some(stream) = &self.stream {
+                stream.client_resumed();
+            }
+        }
+    }
+
+    /// Ends the stream according to the attempt's outcome. Returns whether the connection can be reused.
+    pub(super) async fn finish(&self, outcome: AttemptOutcome) -> bool {
+        let is_complete = outcome == AttemptOutcome::Completed;
+        let is_broken = outcome == AttemptOutcome::ConnectionReset;
+        if let (Some(chunks), true) = (&self.chunks, is_complete) {
+            // Sending fails if the client has disconnected; it does not need the end.
+            let _ = chunks.send(StreamChunk::End).await;
+        }
+        if let Some(stream) = &self.stream {
+            if is_complete || is_broken {
+                stream.end(is_complete);
+            }
+        }
+        self.keeps_connection && !is_broken
+    }
+}
