End an attempt at its write deadline if its replica has not taken the request

Cause: the write deadline bound the way into the kernel's send buffer alone.

Change: the forwarder looks at the send queue at the write deadline. Unsent bytes: the request can't have run, and the attempt ends as a connect failure. Sent but unacknowledged after 0.05 s more: it ends as one that may have run. The connection is dropped, so reset.

--- a/src/transport/replica/attempts.rs
+++ b/src/transport/replica/attempts.rs
@@ -8,7 +8,8 @@
 //! - Nothing is awaited between setting [`AttemptRequest::has_begun`] and the first write.
 //! - An attempt whose last byte was not written can't have run, and is reported as a connect failure or as not sent.
 //! - No byte of an attempt is written after [`AttemptRequest::write_by`], except for a stall of the process between reading
-//!   its clock and writing.
+//!   its clock and writing. An attempt whose replica has not taken all bytes by then ends, which discards those that the
+//!   kernel still holds.
 //! - The outcome is reported to the dispatcher before the connection is released.
 
 use super::connection::ReplicaConnection;
@@ -72,8 +73,8 @@
     pub placed_at: MonotonicMicros,
     /// The node waits for the first token until this time. The remaining time is sent to the replica with the request.
     pub deadline: MonotonicMicros,
-    /// The last byte of the request must be written by this time, so that replicas recognise repeats of the request; `None`
-    /// for no limit.
+    /// The replica's machine must have taken the last byte of the request by this time, so that replicas recognise repeats of
+    /// the request; `None` for no limit.
     pub write_by: Option<MonotonicMicros>,
     /// While the endpoint list is not known to be current, the request must not be written after this time; `None` for no
     /// limit.
@@ -220,9 +221,7 @@
         };
         let sent = run_until(self.clock, write_by, self.send(attempt)).await;
         sent.unwrap_or_else(|| {
-            let AttemptRequest { request, .. } = attempt;
-            let (attempt, to) = (attempt.attempt, attempt.address.addr);
-            tracing::info!(%request, attempt, %to, "withdrew unsent attempt: replicas may no longer recognise a repeat");
+            log_write_deadline(attempt);
             Err(AttemptOutcome::NotSent)
         })
     }
@@ -300,6 +299,10 @@
                     }
                     return AttemptResult::without_connection(AttemptOutcome::TimedOut);
                 }
+                ReplicaInput::NotDelivered(outcome) => {
+                    log_write_deadline(attempt);
+                    return AttemptResult::without_connection(outcome);
+                }
             }
             for step in steps.drain(..) {
                 match step {
@@ -321,6 +324,13 @@
     }
 }
 
+/// Logs that an attempt ends at its write deadline.
+fn log_write_deadline(attempt: &AttemptRequest) {
+    let AttemptRequest { request, .. } = attempt;
+    let (attempt, to) = (attempt.attempt, attempt.address.addr);
+    tracing::info!(%request, attempt, %to, "withdrew unsent attempt: replicas may no longer recognise a repeat");
+}
+
 /// Reads a response to its end. Returns false if the connection ends first.
 async fn read_to_end(connection: &mut ReplicaConnection) -> bool {
     while !connection.http().codec().is_between_messages() {
--- a/src/transport/replica/response_forwarder.rs
+++ b/src/transport/replica/response_forwarder.rs
@@ -8,7 +8,7 @@
 use super::stream_monitor::MonitoredStream;
 use crate::protocol::http::MessagePart;
 use crate::protocol::response::{ResponseReader, ResponseStep};
-use crate::routing::DurationMicros;
+use crate::routing::{DurationMicros, MonotonicMicros};
 use crate::transport::messages::{DispatcherMessage, StartedStream, StreamChunk};
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -19,6 +19,8 @@
 /// Number of chunks of a stream buffered for the client. If the channel is full, the attempt waits and does not read from
 /// the replica.
 const STREAM_CHANNEL_CAPACITY: usize = 4;
+/// Longer than a system delays the acknowledgement of bytes that it has received, in microseconds.
+const MAX_ACKNOWLEDGEMENT_DELAY: DurationMicros = 50_000;
 
 /// The next input from a replica's connection.
 pub(super) enum ReplicaInput {
@@ -28,6 +30,8 @@
     Broken,
     /// No bytes have arrived for longer than a stream of this replica may be silent.
     Stalled { silence_us: DurationMicros },
+    /// The replica had not taken the whole request by the attempt's write deadline. The attempt ends with this outcome.
+    NotDelivered(AttemptOutcome),
 }
 
 /// Forwards the response of one attempt to the client.
@@ -35,6 +39,8 @@
     client: &'a ReplicaClient,
     attempt: &'a AttemptRequest,
     pub(super) reader: ResponseReader,
+    /// The attempt's write deadline if nothing has shown yet that the replica has taken the whole request.
+    undelivered_until: Option<MonotonicMicros>,
     /// Whether the replica keeps the connection open after the response.
     keeps_connection: bool,
     /// Sender of the stream's chunks; `None` before the first token.
@@ -49,14 +55,38 @@
             client,
             attempt,
             reader: ResponseReader::new(client.site.clone()),
+            undelivered_until: attempt.write_by,
             keeps_connection: false,
             chunks: None,
             stream: None,
         }
     }
 
+    /// Reads the next input, for as long as the stream may be silent. Ends at the write deadline if the replica has not taken
+    /// the request by then.
+    pub(super) async fn read(&mut self, connection: &mut ReplicaConnection) -> ReplicaInput {
+        let Some(write_by) = self.undelivered_until.take() else {
+            return self.read_next(connection).await;
+        };
+        for check_at in [write_by, write_by + MAX_ACKNOWLEDGEMENT_DELAY] {
+            let check_at = self.client.clock.instant(check_at);
+            if let Ok(input) = tokio::time::timeout_at(check_at, self.read_next(connection)).await {
+                return input;
+            }
+            let queue = connection.send_queue();
+            if queue.unacknowledged_bytes == 0 {
+                return self.read_next(connection).await;
+            }
+            if queue.unsent_bytes > 0 {
+                // A replica begins a request after its last byte, which has not left this machine.
+                return ReplicaInput::NotDelivered(AttemptOutcome::ConnectFailed);
+            }
+        }
+        ReplicaInput::NotDelivered(AttemptOutcome::ConnectionReset)
+    }
+
     /// Reads the next input, for as long as the stream may be silent. Cancel-safe: the codec keeps what it has read.
-    pub(super) async fn read(&self, connection: &mut ReplicaConnection) -> ReplicaInput {
+    async fn read_next(&self, connection: &mut ReplicaConnection) -> ReplicaInput {
         let next = connection.http_mut().next();
         let silence_limit = self
             .stream
--- a/tests/abandoned_attempts.rs
+++ b/tests/abandoned_attempts.rs
@@ -142,6 +142,7 @@
 struct Attempts {
     client: ReplicaClient,
     messages: Receiver<DispatcherMessage>,
+    clock: Clock,
 }
 
 impl Attempts {
@@ -161,7 +162,11 @@
             Rc::new(StreamMonitor::new(clock, StreamSettings::default())),
             clock,
         );
-        Attempts { client, messages }
+        Attempts {
+            client,
+            messages,
+            clock,
+        }
     }
 
     /// An attempt without a deadline.
@@ -203,6 +208,50 @@
     tokio::task::spawn_blocking(function).await.unwrap()
 }
 
+/// Time until the write deadline in the tests of it, in microseconds.
+const WRITE_TIME_US: MonotonicMicros = 300_000;
+
+/// The write deadline passes while the attempt goes on and the rest of the request is in the kernel's send buffer: replicas
+/// would no longer recognise it as a repeat when the replica reads on.
+#[tokio::test]
+async fn attempt_ends_at_its_write_deadline_if_its_replica_has_not_taken_the_request() {
+    let mut attempts = Attempts::new();
+    let listener = listen_with_small_buffer();
+    let request = AttemptRequest {
+        write_by: Some(attempts.clock.now() + WRITE_TIME_US),
+        ..attempts.request(&listener, BODY_BYTES)
+    };
+    let test = async {
+        spawn_local(attempts.client.clone().run_attempt(request));
+        let replica = blocking(move || accept_unread(&listener, BODY_BYTES)).await;
+        assert_eq!(attempts.outcome().await, AttemptOutcome::ConnectFailed);
+        blocking(move || expect_incomplete_request(replica)).await;
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// A request that its replica has taken in time is waited for beyond the write deadline.
+#[tokio::test]
+async fn attempt_goes_on_after_its_write_deadline_if_its_replica_has_taken_the_request() {
+    const BODY: usize = 100;
+    let mut attempts = Attempts::new();
+    let listener = listen_with_small_buffer();
+    let write_by = attempts.clock.now() + WRITE_TIME_US;
+    let request = AttemptRequest {
+        write_by: Some(write_by),
+        ..attempts.request(&listener, BODY)
+    };
+    let answer_at = attempts.clock.instant(write_by + WRITE_TIME_US);
+    let test = async {
+        spawn_local(attempts.client.clone().run_attempt(request));
+        let mut replica = blocking(move || accept_unread(&listener, BODY)).await;
+        tokio::time::sleep_until(answer_at).await;
+        replica.write_all(STREAM).unwrap();
+        assert_eq!(attempts.outcome().await, AttemptOutcome::Completed);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// A replica declines a request that it has not read. The rest of the request must not be sent before the next one on the same
 /// connection.
 #[tokio::test]
