Take a stream for whole only if its replica has sent its last event and no error before it

What callers saw: status 200, some of the events and the last chunk: half an answer that looked like a whole one (the operators' records).

Cause: ResponseReader took a response that ends in good form for a whole stream; the event data: [DONE] was not looked at. Where streams may be continued, the transcript asked for it, but let streams pass whose events it could not interpret, and took any usage for the end.

Ruled out: a broken connection taken for the end (FIN, RST, a length not reached: no last chunk before either); another attempt's end (one replica, one attempt); shutdown or reload (no signal in the records).

Change: EventStreamScanner::finish is the one judge and says by a type why a stream is not whole; StreamChunk::End, and with it the last chunk, follows from it alone. Such a stream is a broken one for the client, the replica's health, the counters and the log. A lone carriage return ends a line, the content type is compared without regard to case, a usage counts only after the finish reason.

--- a/benches/endpoints/stubs.rs
+++ b/benches/endpoints/stubs.rs
@@ -68,7 +68,7 @@
         if line == "\r\n" {
             *last_request_at.lock().unwrap() = Some(Instant::now());
             let response = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
-                            Transfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n";
+                            Transfer-Encoding: chunked\r\n\r\n17\r\ndata: 1\n\ndata: [DONE]\n\n\r\n0\r\n\r\n";
             writer.write_all(response.as_bytes())?;
         }
     }
--- a/crates/stream-recovery/src/transcript.rs
+++ b/crates/stream-recovery/src/transcript.rs
@@ -6,7 +6,7 @@
 //! Each continuation starts a new epoch, and only the replica of the current epoch may write. Events of the first
 //! replica are forwarded unchanged. Events of later replicas are rewritten to continue the response of the first.
 
-use crate::sse::{event_data, event_length};
+use crate::sse::{event_length, parse_event, EventFields};
 use serde_json::{json, Map, Value};
 
 /// Maximum length of an event, in bytes.
@@ -27,7 +27,7 @@
     Text,
     /// The finish reason has been forwarded: the text is complete.
     FinishReason,
-    /// The usage has been forwarded as well.
+    /// The usage has been forwarded after the finish reason.
     Usage,
     /// `[DONE]` has been forwarded.
     Done,
@@ -105,8 +105,6 @@
     dropped_bytes: u64,
     /// Tokens forwarded before the current epoch.
     earlier_epoch_tokens: u64,
-    /// Whether any event had a list of choices, as a `chat.completion.chunk` has.
-    has_chunks: bool,
 }
 
 impl Default for StreamTranscript {
@@ -121,7 +119,6 @@
             obstacle: None,
             dropped_bytes: 0,
             earlier_epoch_tokens: 0,
-            has_chunks: false,
         }
     }
 }
@@ -157,12 +154,6 @@
         self.dropped_bytes
     }
 
-    /// Whether any event had a list of choices, as a `chat.completion.chunk` has. Other streams cannot be checked for
-    /// completeness.
-    pub fn has_chunks(&self) -> bool {
-        self.has_chunks
-    }
-
     /// Removes and returns the bytes of the incomplete event; empty if there is none.
     pub fn take_partial_event(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.partial_event)
@@ -213,7 +204,14 @@
     }
 
     fn forward_event(&mut self, event: &[u8], output: &mut Vec<u8>) {
-        let data = event_data(event);
+        let EventFields {
+            data,
+            has_error_type,
+        } = parse_event(event);
+        if has_error_type {
+            self.obstacle
+                .get_or_insert(ContinuationObstacle::ErrorInResponse);
+        }
         if data == END_OF_STREAM {
             self.progress = StreamProgress::Done;
             output.extend_from_slice(event);
@@ -246,11 +244,12 @@
                 .get_or_insert(ContinuationObstacle::ErrorInResponse);
         }
         let choices = chunk.get("choices").and_then(Value::as_array);
-        self.has_chunks |= choices.is_some();
         for choice in choices.into_iter().flatten() {
             self.record_choice(choice);
         }
-        if chunk.get("usage").is_some_and(|usage| !usage.is_null()) {
+        let has_usage = chunk.get("usage").is_some_and(|usage| !usage.is_null());
+        // Some servers send the usage so far with each chunk. Only after the finish reason it is that of the whole answer.
+        if has_usage && self.progress >= StreamProgress::FinishReason {
             self.progress = self.progress.max(StreamProgress::Usage);
         }
         if self.text.len() > MAX_TEXT_BYTES {
--- a/src/protocol/response.rs
+++ b/src/protocol/response.rs
@@ -2,7 +2,7 @@
 //!
 //! `transport::replica` has one reader for each attempt.
 
-use crate::protocol::event_stream::EventStreamScanner;
+use crate::protocol::event_stream::{is_event_stream, EventStreamScanner, IncompleteStream};
 use crate::protocol::http::{Head, MessagePart, StartLine};
 use crate::protocol::load_report::parse_load_report;
 use bytes::{Bytes, BytesMut};
@@ -12,8 +12,8 @@
 
 /// The longest event, in bytes. A stream with a longer event counts as broken, because it might never end.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
-/// The content type of an event stream.
-const EVENT_STREAM_TYPE: &str = "text/event-stream";
+/// The content type of a response that states none.
+const DEFAULT_CONTENT_TYPE: &str = "text/event-stream";
 /// The header field with a load report.
 const LOAD_REPORT_HEADER: &str = "srv-load";
 /// The header field by which a replica declares that it has not run the request.
@@ -27,6 +27,8 @@
     Started(String),
     /// Bytes to forward to the client.
     Forward(Bytes),
+    /// The response has ended in good form, but its stream is not whole. The attempt ends as a broken one.
+    Incomplete(IncompleteStream),
     /// The attempt has ended.
     Ended(AttemptOutcome, Option<LoadReport>),
 }
@@ -84,8 +86,8 @@
             steps.push(ResponseStep::Ended(outcome, self.head_report));
         }
         let content_type = head.headers.get("content-type");
-        self.content_type = content_type.unwrap_or(EVENT_STREAM_TYPE).to_string();
-        self.is_event_stream = self.content_type.starts_with(EVENT_STREAM_TYPE);
+        self.content_type = content_type.unwrap_or(DEFAULT_CONTENT_TYPE).to_string();
+        self.is_event_stream = is_event_stream(&self.content_type);
     }
 
     fn on_body(&mut self, bytes: Bytes, steps: &mut Vec<ResponseStep>) {
@@ -105,10 +107,13 @@
     }
 
     fn on_end(&mut self, steps: &mut Vec<ResponseStep>) {
-        // An event stream that ends without a complete event is not a response and must not be forwarded as one.
-        if self.is_event_stream && self.scanner.event_count() == 0 {
-            self.on_connection_lost(steps);
-            return;
+        // A stream that is not whole must not be forwarded as a whole one, however its response ends.
+        if self.is_event_stream {
+            if let Err(incomplete) = self.scanner.finish(&self.settings) {
+                steps.push(ResponseStep::Incomplete(incomplete));
+                self.on_connection_lost(steps);
+                return;
+            }
         }
         if !self.has_started {
             self.start(steps);
@@ -121,7 +126,7 @@
     }
 
     /// Ends the attempt with a reset: the connection was lost or ended before the response was complete. Also used if an
-    /// event is too long or an event stream ends without a complete event.
+    /// event is too long or an event stream is not whole at its end.
     pub fn on_connection_lost(&mut self, steps: &mut Vec<ResponseStep>) {
         if self.has_ended {
             return;
--- a/src/transport/client/connection/streams.rs
+++ b/src/transport/client/connection/streams.rs
@@ -64,22 +64,20 @@
         mut chunks: mpsc::Receiver<StreamChunk>,
     ) -> Result<StreamEnd, ConnectionClosed> {
         loop {
-            let is_complete = match self.until_disconnected(chunks.recv()).await? {
+            match self.until_disconnected(chunks.recv()).await? {
                 Some(StreamChunk::Bytes(bytes)) => {
                     let bytes = recovery.forward(&bytes);
                     self.send_chunk(bytes).await?;
                     continue;
                 }
-                Some(StreamChunk::End) => recovery.handle_replica_end(),
-                None => false,
-            };
-            if is_complete {
-                let partial_event = recovery.take_partial_event();
-                if !partial_event.is_empty() {
+                Some(StreamChunk::End) => {
+                    recovery.record_completion();
+                    let partial_event = recovery.take_partial_event();
                     self.feed(EncodedMessage::Chunk(partial_event)).await?;
+                    self.send(EncodedMessage::EndOfChunks).await?;
+                    return Ok(StreamEnd::Complete);
                 }
-                self.send(EncodedMessage::EndOfChunks).await?;
-                return Ok(StreamEnd::Complete);
+                None => {}
             }
             match self.recover(recovery).await? {
                 RecoveryOutcome::Continued(continuation) => chunks = continuation,
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -59,7 +59,7 @@
 pub enum StreamChunk {
     /// Bytes from the replica, unchanged.
     Bytes(Bytes),
-    /// The stream is complete.
+    /// The stream is whole: its last event has come, and its response has ended in good form.
     End,
 }
 
--- a/src/transport/replica/attempts.rs
+++ b/src/transport/replica/attempts.rs
@@ -16,6 +16,7 @@
 use super::pool::{ConnectError, ConnectionPool, ReplicaAddress};
 use super::response_forwarder::{ReplicaInput, ResponseForwarder};
 use super::stream_monitor::StreamMonitor;
+use crate::protocol::event_stream::IncompleteStream;
 use crate::protocol::http::{EncodedMessage, HttpParseError};
 use crate::protocol::request;
 use crate::protocol::response::ResponseStep;
@@ -310,8 +311,10 @@
                         forwarder.start_stream(content_type).await;
                     }
                     ResponseStep::Forward(bytes) => forwarder.forward(bytes).await,
+                    ResponseStep::Incomplete(why) => log_incomplete_stream(attempt, why),
                     ResponseStep::Ended(outcome, report) => {
-                        let can_reuse = forwarder.finish(outcome).await;
+                        let has_ended = connection.http().codec().is_between_messages();
+                        let can_reuse = forwarder.finish(outcome, has_ended).await;
                         return AttemptResult {
                             outcome,
                             report,
@@ -324,6 +327,13 @@
     }
 }
 
+/// Logs that a replica has ended its response in good form, but not its stream.
+fn log_incomplete_stream(attempt: &AttemptRequest, why: IncompleteStream) {
+    let AttemptRequest { request, .. } = attempt;
+    let (attempt, from) = (attempt.attempt, attempt.address.addr);
+    tracing::info!(%request, attempt, %from, %why, "replica ended an incomplete stream");
+}
+
 /// Logs that an attempt ends at its write deadline.
 fn log_write_deadline(attempt: &AttemptRequest) {
     let AttemptRequest { request, .. } = attempt;
--- a/src/transport/replica/response_forwarder.rs
+++ b/src/transport/replica/response_forwarder.rs
@@ -159,8 +159,9 @@
         }
     }
 
-    /// Ends the stream according to the attempt's outcome. Returns whether the connection can be reused.
-    pub(super) async fn finish(&self, outcome: AttemptOutcome) -> bool {
+    /// Ends the stream according to the attempt's outcome. `has_response_ended` tells whether the response has ended in good
+    /// form: then a broken stream leaves the connection usable. Returns whether the connection can be reused.
+    pub(super) async fn finish(&self, outcome: AttemptOutcome, has_response_ended: bool) -> bool {
         let is_complete = outcome == AttemptOutcome::Completed;
         let is_broken = outcome == AttemptOutcome::ConnectionReset;
         if let (Some(chunks), true) = (&self.chunks, is_complete) {
@@ -172,6 +173,6 @@
                 stream.end(is_complete);
             }
         }
-        self.keeps_connection && !is_broken
+        self.keeps_connection && (has_response_ended || !is_broken)
     }
 }
--- a/src/transport/replica/stream_recovery.rs
+++ b/src/transport/replica/stream_recovery.rs
@@ -5,6 +5,7 @@
 //! The task of the client's connection owns the [`StreamRecovery`] of its stream and executes each [`RecoveryStep`].
 
 use super::stream_monitor::{ContinuationSettings, StreamMonitor};
+use crate::protocol::event_stream::is_event_stream;
 use crate::protocol::http::Head;
 use crate::protocol::request;
 use crate::transport::messages::RequestPayload;
@@ -12,14 +13,10 @@
 use poppykeel_scheduler::{Idempotency, IncomingRequest, ReplicaId, RequestId};
 use poppykeel_site_settings::SiteSettings;
 use poppykeel_stream_recovery::{
-    decide_recovery, InterruptedStream, RecoveryDecision, RecoveryRefusal, StreamProgress,
-    StreamTranscript,
+    decide_recovery, InterruptedStream, RecoveryDecision, RecoveryRefusal, StreamTranscript,
 };
 use std::rc::Rc;
 
-/// The content type of the streams that can be recovered.
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// A client's request whose stream has begun.
 pub struct StreamedRequest {
     /// The request in the scheduler's form.
@@ -75,7 +72,7 @@
         content_type: &str,
     ) -> Option<StreamRecovery> {
         let continuation = monitor.settings().continuation;
-        let settings = continuation.filter(|_| content_type.starts_with(EVENT_STREAM))?;
+        let settings = continuation.filter(|_| is_event_stream(content_type))?;
         let class = site.scheduler.classes.get(streamed.request.class);
         let is_idempotent = class.is_some_and(|class| class.idempotency == Idempotency::Idempotent);
         Some(StreamRecovery {
@@ -113,18 +110,12 @@
         self.transcript.take_partial_event().into()
     }
 
-    /// Handles the end of the replica's response. Returns whether the events show a complete stream; a stream whose events
-    /// can't be interpreted counts as complete.
-    pub fn handle_replica_end(&mut self) -> bool {
-        let transcript = &self.transcript;
-        let is_complete = transcript.progress() == StreamProgress::Done
-            || transcript.obstacle().is_some()
-            || !transcript.has_chunks();
-        if is_complete && self.continuation_count > 0 {
+    /// Counts a stream that the last replica has completed.
+    pub fn record_completion(&self) {
+        if self.continuation_count > 0 {
             self.monitor
                 .update_counters(|counters| counters.recovered += 1);
         }
-        is_complete
     }
 
     /// Handles a stream that has stalled or broken, or lacks its end. Returns the next step.
--- a/tests/connection_edge_cases.rs
+++ b/tests/connection_edge_cases.rs
@@ -20,7 +20,8 @@
 /// A health check on a connection that closes after it.
 const HEALTH_AND_CLOSE: &[u8] = b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n";
 /// A replica's response with one event.
-const ONE_EVENT: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata: 1\n\n";
+const ONE_EVENT: &[u8] =
+    b"HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\ndata: 1\n\ndata: [DONE]\n\n";
 
 /// The text of a request. `headers` holds further header lines, each with its CRLF.
 fn request(id: &str, headers: &str, body: &str) -> String {
@@ -110,7 +111,9 @@
             // The stream breaks: the client receives the forwarded bytes, but no last chunk.
             drop(stream);
         } else {
-            stream.write_all(b"0\r\n\r\n").unwrap();
+            stream
+                .write_all(b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")
+                .unwrap();
         }
         let mut bytes = Vec::new();
         let end = client.read_to_end(&mut bytes);
@@ -410,7 +413,10 @@
             }
         });
     }
-    stream.write_all(b"0\r\n\r\n").unwrap();
+    stream
+        .write_all(b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")
+        .unwrap();
+    sent.push_str("data: [DONE]\n\n");
     text.push_str(&read_to_close(&mut client));
     assert_eq!(
         remove_chunk_framing(text.split_once("\r\n\r\n").unwrap().1),
--- a/tests/dispatcher.rs
+++ b/tests/dispatcher.rs
@@ -158,7 +158,7 @@
         ));
         stream
             .write_all(
-                b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 9\r\n\r\ndata: 1\n\n",
+                b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 23\r\n\r\ndata: 1\n\ndata: [DONE]\n\n",
             )
             .await
             .unwrap();
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -8,12 +8,14 @@
 use poppykeel::program::config::operator::OperatorConfig;
 use poppykeel::program::config::{NodeConfig, Overrides};
 use poppykeel::protocol::discovery::parse_endpoint_list;
+use poppykeel::protocol::event_stream::IncompleteStream;
 use poppykeel::protocol::http::{HttpCodec, HttpParseError, MessagePart, Role};
 use poppykeel::protocol::response::{ResponseReader, ResponseStep};
 use poppykeel::routing::directory::{replica_id, EndpointDirectory};
 use poppykeel::routing::ClockReading;
 use poppykeel_scheduler::AttemptOutcome;
 use poppykeel_site_settings::SiteSettings;
+use proptest::prelude::{prop, prop_assert_eq, proptest};
 use serde_json::json;
 use std::rc::Rc;
 use tokio_util::codec::Decoder;
@@ -172,8 +174,18 @@
 #[test]
 fn stream_without_an_event_is_not_counted_as_served() {
     let connection_reset = [ResponseStep::Ended(AttemptOutcome::ConnectionReset, None)];
-    assert_eq!(read_response(&["what is this"], true), connection_reset);
-    assert_eq!(read_response(&[], true), connection_reset);
+    let ended_with = |incomplete| {
+        let [reset] = &connection_reset;
+        vec![ResponseStep::Incomplete(incomplete), reset.clone()]
+    };
+    assert_eq!(
+        read_response(&[], true),
+        ended_with(IncompleteStream::NoEvent)
+    );
+    assert_eq!(
+        read_response(&["what is this"], true),
+        ended_with(IncompleteStream::EndMissing)
+    );
     assert_eq!(
         read_response(&["x".repeat(100_000).as_str()], false),
         connection_reset
@@ -187,11 +199,51 @@
         "{failed_after_first_event:?}"
     );
     assert_eq!(
-        read_response(&["data: 1\n\n"], true).last(),
+        read_response(&["data: 1\n\ndata: [DONE]\n\n"], true).last(),
         Some(&ResponseStep::Ended(AttemptOutcome::Completed, None))
     );
 }
 
+proptest! {
+    /// Guards against a judgement that depends on how the bytes of a stream arrive: in any pieces, a stream is whole exactly if
+    /// it is whole in one piece.
+    #[test]
+    fn stream_is_judged_alike_in_pieces_of_any_size(
+        parts in prop::collection::vec(prop::sample::select(STREAM_PARTS), 0..8),
+        cuts in prop::collection::vec(0_usize..200, 0..12),
+    ) {
+        let text = parts.concat();
+        let mut positions: Vec<usize> = cuts.into_iter().filter(|cut| *cut < text.len()).collect();
+        positions.sort_unstable();
+        let mut pieces = Vec::new();
+        let mut start = 0;
+        for position in positions {
+            pieces.push(&text[start..position]);
+            start = position;
+        }
+        pieces.push(&text[start..]);
+        let outcome = |bodies: &[&str]| read_response(bodies, true).last().cloned();
+        prop_assert_eq!(outcome(&pieces), outcome(&[&text]));
+    }
+}
+
+/// Parts of streams, whole and broken ones.
+const STREAM_PARTS: &[&str] = &[
+    "data: 1\n\n",
+    "data: 1\r\n\r\n",
+    "data: 1\r\r",
+    "data: [DONE]\n\n",
+    "data:[DONE]\r\n\r\n",
+    "data: [DONE]\r\r",
+    "data: [DONE]",
+    ": comment\n\n",
+    "data: {\"error\":1}\n\n",
+    "event: error\n",
+    "\r",
+    "\n",
+    "x",
+];
+
 #[test]
 fn excessive_interim_responses_and_chunk_sizes_are_rejected_at_once() {
     let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(10);
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -17,6 +17,8 @@
 const UNRESPONSIVE_MS: u64 = 60_000;
 /// Longer than the time after SIGTERM in which a node still admits requests.
 const SUSPENSION: Duration = Duration::from_millis(1200);
+/// The event that ends a stream, and the last chunk.
+const END_OF_STREAM: &str = "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
 const STREAM_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 fn id(number: u64) -> String {
@@ -123,7 +125,7 @@
     node.signal("-TERM");
     node.wait_for_log("closing");
     client.write_all(request(2, "").as_bytes()).unwrap();
-    stream.write_all(b"0\r\n\r\n").unwrap();
+    stream.write_all(END_OF_STREAM.as_bytes()).unwrap();
     drop(stream);
     let reader = std::thread::spawn(move || read_to_close(&mut client));
     // If the node forwarded the second request, it would open a new connection to the replica.
@@ -133,7 +135,8 @@
         reader.is_finished()
     });
     let text = reader.join().unwrap();
-    assert!(text.starts_with("0\r\n\r\nHTTP/1.1 503 "), "'{text}'");
+    let rejected = format!("{END_OF_STREAM}HTTP/1.1 503 ");
+    assert!(text.starts_with(&rejected), "'{text}'");
     assert_exits_successfully(node);
 }
 
--- a/tests/soak/replicas.rs
+++ b/tests/soak/replicas.rs
@@ -10,7 +10,7 @@
 
 const STREAM_HEAD: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-const EVENT: &str = "9\r\ndata: 1\n\n\r\n";
+const EVENTS: &str = "17\r\ndata: 1\n\ndata: [DONE]\n\n\r\n";
 const LAST_CHUNK: &str = "0\r\n\r\n";
 const PROBE_RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
 const UNAVAILABLE: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
@@ -90,6 +90,6 @@
         TIME_TO_FIRST_TOKEN
     });
     stream.write_all(STREAM_HEAD.as_bytes())?;
-    stream.write_all(EVENT.as_bytes())?;
+    stream.write_all(EVENTS.as_bytes())?;
     stream.write_all(LAST_CHUNK.as_bytes())
 }
--- a/tests/support/drainable_replica.rs
+++ b/tests/support/drainable_replica.rs
@@ -9,7 +9,7 @@
 
 const STREAM: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
-                      9\r\ndata: 1\n\n\r\n0\r\n\r\n";
+                      17\r\ndata: 1\n\ndata: [DONE]\n\n\r\n0\r\n\r\n";
 const PROBE_RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
 const UNAVAILABLE: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 const DECLINED: &str =
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -33,7 +33,7 @@
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const STREAM: &[u8] =
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n";
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n17\r\ndata: 1\n\ndata: [DONE]\n\n\r\n0\r\n\r\n";
 const MINUTE: Duration = Duration::from_secs(60);
 
 #[tokio::test]
