Read on to a client's close however much it has sent ahead

What callers saw (a picture told by operators, shown by a test): a client closes its connection with much still unread, and its requests are begun at replicas afterwards, after any time.

Cause: the node stopped reading at 16 KiB ahead, and the kernel shows a close only behind the bytes before it.

Change: while a response is awaited, the node reads to the close. It keeps up to a whole further request, counted against the memory of bodies, and discards the rest of a client that sends more, whose current response is then its last. CloseReason::SentTooMuch counts them.

--- a/src/transport/client/close_reason.rs
+++ b/src/transport/client/close_reason.rs
@@ -14,6 +14,8 @@
     LastResponse,
     /// A request was rejected without being passed to the dispatcher.
     RequestRejected,
+    /// The client sent more ahead of its turn than is kept. Its connection closes after the response to its current request.
+    SentTooMuch,
     /// A stream ended incomplete. The client sees this by the missing last chunk.
     StreamBroken,
     /// No further request arrived within the idle timeout.
@@ -32,11 +34,12 @@
 
 impl CloseReason {
     /// All reasons in the order of their declaration.
-    pub const ALL: [CloseReason; 11] = [
+    pub const ALL: [CloseReason; 12] = [
         CloseReason::ClientDisconnected,
         CloseReason::ClientStalled,
         CloseReason::LastResponse,
         CloseReason::RequestRejected,
+        CloseReason::SentTooMuch,
         CloseReason::StreamBroken,
         CloseReason::IdleTimeout,
         CloseReason::NoRequest,
@@ -53,6 +56,7 @@
             CloseReason::ClientStalled => "client_stalled",
             CloseReason::LastResponse => "last_answer",
             CloseReason::RequestRejected => "rejected",
+            CloseReason::SentTooMuch => "sent_too_much",
             CloseReason::StreamBroken => "stream_broken",
             CloseReason::IdleTimeout => "idle",
             CloseReason::NoRequest => "never_asked",
--- a/src/transport/client/connection/disconnect.rs
+++ b/src/transport/client/connection/disconnect.rs
@@ -1,20 +1,23 @@
 //! Detects that a client disconnects while its request is being served.
+//!
+//! A close is behind all bytes that the client has sent before it, so it can be seen only by reading them. What a further
+//! request may need is kept; of a client that sends more than that ahead, the rest is discarded, and its connection closes after
+//! the current response.
 
+use super::sent_ahead::SentAhead;
 use super::{ClientConnection, CloseReason, ConnectionClosed};
 use crate::protocol::http::HttpParseError;
 use crate::transport::HttpConnection;
 use futures_util::StreamExt;
 use std::future::Future;
 use std::io::ErrorKind;
-use std::time::Duration;
-use tokio::io::Interest;
 
-/// Maximum number of bytes of further requests buffered while a response is awaited.
-const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes read at once.
 const READ_BUFFER_BYTES: usize = 4096;
-/// How often a close is checked for once [`MAX_READ_AHEAD_BYTES`] are buffered.
-const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Other tasks run after this many reads.
+const READS_PER_TURN: usize = 16;
+/// Maximum number of bytes discarded for one response. A client that sends more is not served any further.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 
 /// The client has closed or broken its connection.
 #[derive(Debug, PartialEq, thiserror::Error)]
@@ -42,7 +45,7 @@
                 return tokio::select! {
                     biased;
                     output = &mut operation => Ok(output),
-                    () = wait_for_close(&mut self.http) => Err(ClientDisconnected),
+                    () = wait_for_close(&mut self.http, &mut self.sent_ahead) => Err(ClientDisconnected),
                 };
             }
             // Reading is cancel-safe: the codec keeps what it has read. The operation is only borrowed: if `select!` ends
@@ -60,27 +63,28 @@
     }
 }
 
-/// Waits until a client has closed its connection, possibly after bytes sent ahead. These bytes are buffered, up to a limit.
-/// Cancel-safe.
-async fn wait_for_close(http: &mut HttpConnection) {
+/// Waits until a client has closed its connection, possibly after bytes sent ahead, or has sent too much. Cancel-safe.
+async fn wait_for_close(http: &mut HttpConnection, sent_ahead: &mut SentAhead) {
     let mut buffer = [0; READ_BUFFER_BYTES];
+    let mut discarded_bytes = 0;
     loop {
-        if http.read_buffer().len() >= MAX_READ_AHEAD_BYTES {
-            match http.get_ref().ready(Interest::READABLE).await {
-                Ok(ready) if !ready.is_read_closed() => {
-                    tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
-                }
-                Ok(_) | Err(_) => return,
+        for _ in 0..READS_PER_TURN {
+            if http.get_ref().readable().await.is_err() {
+                return;
             }
-        } else if http.get_ref().readable().await.is_err() {
-            return;
-        } else {
             match http.get_ref().try_read(&mut buffer) {
                 Ok(0) => return,
-                Ok(length) => http.read_buffer_mut().extend_from_slice(&buffer[..length]),
+                Ok(length) if sent_ahead.try_keep(length, http.read_buffer().len()) => {
+                    http.read_buffer_mut().extend_from_slice(&buffer[..length]);
+                }
+                Ok(length) => discarded_bytes += length,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
         }
+        tokio::task::yield_now().await;
+        if discarded_bytes > MAX_DISCARDED_BYTES {
+            return;
+        }
     }
 }
--- a/src/transport/client/connection/mod.rs
+++ b/src/transport/client/connection/mod.rs
@@ -15,12 +15,14 @@
 //! Invariants:
 //! - Each completely read request is answered, or the dispatcher is notified that its client has disconnected.
 //! - Bytes that arrive at the moment of a close between two requests are read as a request.
-//! - Bytes of a further request that arrive early are buffered until the current request has its response.
+//! - Bytes of a further request that arrive early are buffered until the current request has its response. If a client sends
+//!   more than one request may need, the rest is discarded and the current response is the last one.
 
 mod disconnect;
 mod exchange;
 mod requests;
 mod responses;
+mod sent_ahead;
 mod streams;
 
 use super::close_reason::CloseReason;
@@ -28,6 +30,7 @@
 use crate::protocol::http::{HttpCodec, HttpParseError, MessagePart, Role};
 use crate::transport::messages::RequestOwner;
 use crate::transport::HttpConnection;
+use sent_ahead::SentAhead;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, Interest};
@@ -61,6 +64,8 @@
     number: u64,
     /// The result of reading the next request while a response was awaited: its head, or a read error.
     read_ahead: Option<Result<MessagePart, HttpParseError>>,
+    /// What the client has sent ahead of its turn.
+    sent_ahead: SentAhead,
     /// Number of request heads read on this connection.
     request_count: u64,
     /// The current request must be complete by this time.
@@ -88,6 +93,7 @@
         let http = Framed::new(socket.into(), HttpCodec::new(Role::Server));
         ClientConnection {
             http,
+            sent_ahead: SentAhead::new(registry.clone()),
             registry,
             number,
             read_ahead: None,
@@ -125,6 +131,9 @@
             if let Err(closed) = self.serve(*head).await {
                 return closed;
             }
+            if self.sent_ahead.has_overrun() {
+                return ConnectionClosed(CloseReason::SentTooMuch);
+            }
         }
     }
 
@@ -149,6 +158,6 @@
 
     /// Whether a response sent now is the last on its connection.
     fn is_last_response(&self) -> bool {
-        !self.registry.is_serving()
+        !self.registry.is_serving() || self.sent_ahead.has_overrun()
     }
 }
--- a/src/transport/client/connection/requests.rs
+++ b/src/transport/client/connection/requests.rs
@@ -8,7 +8,7 @@
 use crate::transport::client::shutdown::LAST_READ_DURATION;
 use crate::transport::client::RETRY_AFTER_FULL;
 use crate::transport::node_phase::NodePhase;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -16,6 +16,9 @@
 /// The interim response that allows a client to send its announced body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
+/// An empty read buffer that is larger is freed.
+const MAX_IDLE_BUFFER_BYTES: usize = 64 * 1024;
+
 /// The result of waiting for a request.
 enum RequestStart {
     /// The first part of the request.
@@ -57,6 +60,9 @@
 impl ClientConnection {
     /// Reads the head of the next request on this connection.
     pub(super) async fn next_head(&mut self) -> Result<Box<Head>, ConnectionClosed> {
+        if self.http.read_buffer().is_empty() {
+            self.free_read_buffer();
+        }
         let start = match self.read_ahead.take() {
             Some(read) => {
                 self.restart_read_deadline();
@@ -77,6 +83,14 @@
         }
     }
 
+    /// Frees the memory of bytes that were sent ahead and have been read.
+    fn free_read_buffer(&mut self) {
+        self.sent_ahead.release();
+        if self.http.read_buffer().capacity() > MAX_IDLE_BUFFER_BYTES {
+            *self.http.read_buffer_mut() = BytesMut::new();
+        }
+    }
+
     fn restart_read_deadline(&mut self) {
         self.read_deadline = Instant::now() + self.registry.limits().request_read_timeout;
     }
--- a/src/transport/client/registry.rs
+++ b/src/transport/client/registry.rs
@@ -27,6 +27,9 @@
 /// Maximum number of evicted connections that have not closed yet.
 pub const MAX_PENDING_EVICTIONS: usize = 16;
 
+/// Bytes sent ahead are kept only while all bodies together use less than this part of their memory.
+const READ_AHEAD_DIVISOR: usize = 2;
+
 /// State shared by all client connections.
 pub struct ConnectionRegistry {
     site: RefCell<Rc<SiteSettings>>,
@@ -229,8 +232,19 @@
 
     /// Adds this many bytes to the permit. Returns false if that would exceed the limit.
     pub(super) fn try_grow(&mut self, bytes: usize) -> bool {
+        self.try_grow_within(bytes, self.registry.limits.max_body_memory_bytes)
+    }
+
+    /// Like [`BodyMemoryPermit::try_grow`], for bytes sent ahead of their turn. They leave a part of the memory to the bodies of
+    /// requests whose turn has come.
+    pub(super) fn try_grow_read_ahead(&mut self, bytes: usize) -> bool {
+        let limit = self.registry.limits.max_body_memory_bytes / READ_AHEAD_DIVISOR;
+        self.try_grow_within(bytes, limit)
+    }
+
+    fn try_grow_within(&mut self, bytes: usize, limit: usize) -> bool {
         let total = self.registry.body_memory_bytes.get() + bytes;
-        if total > self.registry.limits.max_body_memory_bytes {
+        if total > limit {
             return false;
         }
         self.registry.body_memory_bytes.set(total);
