Reject an id that comes again after a replica may have run it

Cause: an id was known only while its request was active.

AttemptOutcome::may_have_run is the one definition. Not mended: the other process of an upgrade knows no ids of the first.

--- a/crates/scheduler/src/attempt.rs
+++ b/crates/scheduler/src/attempt.rs
@@ -100,26 +100,11 @@
             AttemptState::Streaming => 0.0,
         };
         self.state = AttemptState::Ended {
-            may_have_run: may_have_run(outcome),
+            may_have_run: outcome.may_have_run(),
         };
         Some(pending_prefill_tokens)
     }
 }
 
-/// Whether a replica may have run an attempt with this outcome.
-fn may_have_run(outcome: AttemptOutcome) -> bool {
-    match outcome {
-        AttemptOutcome::AtCapacity
-        | AttemptOutcome::ConnectFailed
-        | AttemptOutcome::NotSent
-        | AttemptOutcome::InvalidRequest => false,
-        AttemptOutcome::Completed
-        | AttemptOutcome::ServerError
-        | AttemptOutcome::TimedOut
-        | AttemptOutcome::ConnectionReset
-        | AttemptOutcome::Cancelled => true,
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/scheduler/src/types/event.rs
+++ b/crates/scheduler/src/types/event.rs
@@ -83,3 +83,20 @@
     /// The replica rejected the request as invalid; any other replica would do the same.
     InvalidRequest,
 }
+
+impl AttemptOutcome {
+    /// Whether a replica may have run an attempt with this outcome.
+    pub fn may_have_run(self) -> bool {
+        match self {
+            AttemptOutcome::AtCapacity
+            | AttemptOutcome::ConnectFailed
+            | AttemptOutcome::NotSent
+            | AttemptOutcome::InvalidRequest => false,
+            AttemptOutcome::Completed
+            | AttemptOutcome::ServerError
+            | AttemptOutcome::TimedOut
+            | AttemptOutcome::ConnectionReset
+            | AttemptOutcome::Cancelled => true,
+        }
+    }
+}
--- a/src/transport/client/connection/exchange.rs
+++ b/src/transport/client/connection/exchange.rs
@@ -168,7 +168,8 @@
             ClientResponse::Duplicate => {
                 let reject = RequestError {
                     status: 400,
-                    reason: "Req-Id is that of a request still being served".to_string(),
+                    reason: "Req-Id is that of a request that is being served or may have run"
+                        .to_string(),
                 };
                 Err(self.reject(&reject, None).await)
             }
--- a/src/transport/dispatcher/commands.rs
+++ b/src/transport/dispatcher/commands.rs
@@ -6,7 +6,9 @@
 use crate::transport::messages::ClientResponse;
 use crate::transport::replica::attempts::AttemptRequest;
 use crate::transport::replica::pool::ReplicaAddress;
-use poppykeel_scheduler::{max_write_start_delay, AttemptOutcome, ReplicaId, RequestId};
+use poppykeel_scheduler::{
+    max_write_start_delay, AttemptOutcome, Idempotency, ReplicaId, RequestId,
+};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -50,7 +52,10 @@
                 self.start_attempt(now, placement);
             }
             RouterCommand::AbandonAttempt { request, attempt } => {
-                self.in_flight.abort(AttemptId { request, attempt });
+                let abandoned = self.in_flight.abort(AttemptId { request, attempt });
+                if abandoned.is_some_and(|attempt| attempt.has_effect && attempt.has_begun.get()) {
+                    self.executed_requests.add(request);
+                }
             }
             RouterCommand::BindStream { request, .. } => self.bind_offered_stream(request),
             RouterCommand::Reject {
@@ -92,10 +97,12 @@
             return;
         };
         let has_begun = attempt_request.has_begun.clone();
+        let has_effect = self.has_effect(request);
         let task =
             tokio::task::spawn_local(self.replica_client.clone().run_attempt(attempt_request));
         let in_flight = InFlightAttempt {
             replica,
+            has_effect,
             has_begun,
             task: task.abort_handle(),
         };
@@ -131,6 +138,14 @@
         })
     }
 
+    /// Whether a repeat of a waiting client's request may have a second effect.
+    fn has_effect(&self, request: RequestId) -> bool {
+        let client = self.waiting_clients.get(request);
+        let classes = &self.replica_client.site().scheduler.classes;
+        let class = client.and_then(|client| classes.get(client.group.class));
+        class.is_none_or(|class| class.idempotency != Idempotency::Idempotent)
+    }
+
     /// Sends the client the stream whose first token has just arrived.
     fn bind_offered_stream(&mut self, request: RequestId) {
         let Some(stream) = self.offered_stream.take() else {
--- a/src/transport/dispatcher/endpoint_updates.rs
+++ b/src/transport/dispatcher/endpoint_updates.rs
@@ -112,7 +112,8 @@
             return;
         }
         for id in self.in_flight.unsent_to(unavailable) {
-            self.in_flight.abort(id);
+            // It has written nothing, so it can't have run.
+            let _ = self.in_flight.abort(id);
             let AttemptId { request, attempt } = id;
             tracing::info!(%request, attempt, "withdrew unsent attempt: replica is no longer available");
             let event = RouterEvent::AttemptEnded {
--- a/src/transport/dispatcher/in_flight.rs
+++ b/src/transport/dispatcher/in_flight.rs
@@ -9,6 +9,8 @@
 
 pub(super) struct InFlightAttempt {
     pub(super) replica: ReplicaId,
+    /// Whether a repeat of the request may have a second effect.
+    pub(super) has_effect: bool,
     /// Set by the task immediately before it writes the first byte.
     pub(super) has_begun: Rc<Cell<bool>>,
     /// Aborting the task resets the connection.
@@ -25,17 +27,18 @@
         self.attempts.insert(id, attempt);
     }
 
-    /// Removes an attempt whose task has reported its outcome. The task runs on for a moment to release its connection for
-    /// reuse.
-    pub(super) fn remove(&mut self, id: AttemptId) {
-        self.attempts.remove(&id);
+    /// Removes and returns an attempt whose task has reported its outcome. The task runs on for a moment to release its
+    /// connection for reuse.
+    pub(super) fn remove(&mut self, id: AttemptId) -> Option<InFlightAttempt> {
+        self.attempts.remove(&id)
     }
 
-    /// Aborts the task of an attempt, which resets its connection. Does nothing if the attempt has reported its outcome.
-    pub(super) fn abort(&mut self, id: AttemptId) {
-        if let Some(attempt) = self.attempts.remove(&id) {
-            attempt.task.abort();
-        }
+    /// Aborts the task of an attempt, which resets its connection, and returns the attempt; `None` if it has reported its
+    /// outcome.
+    pub(super) fn abort(&mut self, id: AttemptId) -> Option<InFlightAttempt> {
+        let attempt = self.attempts.remove(&id)?;
+        attempt.task.abort();
+        Some(attempt)
     }
 
     /// Attempts to these replicas that have not written anything yet, ordered by id.
--- a/src/transport/dispatcher/mod.rs
+++ b/src/transport/dispatcher/mod.rs
@@ -8,15 +8,18 @@
 //! Invariants:
 //! - All commands that follow from a message are executed before the next message is handled.
 //! - No attempt is started for a client that has disconnected, even if its disconnect message is still queued.
+//! - The id of a request that a replica may have run is not admitted again if a repeat may have a second effect.
 //! - A draining or removed replica gets no new work: an attempt that has not written anything yet is withdrawn.
 //!
 //! This module dispatches each [`DispatcherMessage`]. `requests` handles clients and attempts, `endpoint_updates` the
 //! endpoint list, `queries` the queries, `commands` the router's commands, `suspension` the recovery after a suspension, and
-//! `logging` writes the log. `clients` and `in_flight` own the tables of clients and attempts.
+//! `logging` writes the log. `clients`, `in_flight` and `executed_requests` own the tables of clients, attempts and
+//! finished requests.
 
 mod clients;
 mod commands;
 mod endpoint_updates;
+mod executed_requests;
 mod in_flight;
 mod logging;
 mod queries;
@@ -32,6 +35,7 @@
     AttemptId, DurationMicros, MonotonicMicros, RequestRouter, RouterCommand, RouterEvent,
 };
 use clients::{RequestOwners, WaitingClients};
+use executed_requests::ExecutedRequests;
 use in_flight::InFlightAttempts;
 use logging::IterationStart;
 use poppykeel_endpoints::SourceUpdate;
@@ -58,6 +62,7 @@
     waiting_clients: WaitingClients,
     owners: RequestOwners,
     in_flight: InFlightAttempts,
+    executed_requests: ExecutedRequests,
     /// The stream whose first token the router is processing. The router may bind it to its client.
     offered_stream: Option<StartedStream>,
     /// Commands of the router that have not been executed.
@@ -84,6 +89,7 @@
             waiting_clients: WaitingClients::default(),
             owners: RequestOwners::default(),
             in_flight: InFlightAttempts::default(),
+            executed_requests: ExecutedRequests::default(),
             offered_stream: None,
             commands: Vec::new(),
         };
--- a/src/transport/dispatcher/requests.rs
+++ b/src/transport/dispatcher/requests.rs
@@ -11,7 +11,7 @@
 const MICROS_PER_SECOND: f64 = 1e6;
 
 impl Dispatcher {
-    /// Admits a request, unless its id is in use or its client has already disconnected.
+    /// Admits a request, unless its id is in use, may have run and must not run again, or its client has already disconnected.
     pub(super) fn handle_client_request(
         &mut self,
         now: MonotonicMicros,
@@ -26,7 +26,7 @@
         // The client's deadline has been running since it sent the request, also while the process was suspended.
         let backlog_age = self.replica_client.suspension_detector().backlog_age(now);
         request.time_left -= seconds(backlog_age);
-        if self.router.is_active(request.id) {
+        if self.router.is_active(request.id) || self.executed_requests.contains(request.id) {
             send_reply(response, ClientResponse::Duplicate);
             return;
         }
@@ -81,7 +81,10 @@
         outcome: AttemptOutcome,
         report: Option<LoadReport>,
     ) {
-        self.in_flight.remove(id);
+        let ended = self.in_flight.remove(id);
+        if outcome.may_have_run() && ended.is_some_and(|attempt| attempt.has_effect) {
+            self.executed_requests.add(id.request);
+        }
         let event = RouterEvent::AttemptEnded {
             request: id.request,
             attempt: id.attempt,
--- a/src/transport/messages.rs
+++ b/src/transport/messages.rs
@@ -41,7 +41,7 @@
     Rejected(DurationMicros),
     /// The request has failed before a stream began; the client gets status 502.
     Failed,
-    /// Another request with the same id is active; the client gets status 400.
+    /// A request with the same id is active, or may have run and must not run again; the client gets status 400.
     Duplicate,
     /// A replica's stream has started.
     Stream {
