Keep the repeat of a keyed request with the replicas that know its first attempt

What callers saw (a picture told by operators, shown by a test): another process takes the name of the replica that may have run a keyed request, in another zone or cell; the repeat goes to that zone or cell, whose replicas do not know the request, and it runs twice.

Cause: the group for repeats was looked up by the replica's name when the repeat was placed.

Change: an attempt carries the groups that its replica had when it was placed. A repeat within the group is now also possible after that replica has left the list.

Measured: repeat_stays_with_the_replicas_that_know_the_first_attempt failed before (the repeat went to the other zone), passes now; all tests of the scheduler pass.

--- a/crates/scheduler/src/attempt.rs
+++ b/crates/scheduler/src/attempt.rs
@@ -1,6 +1,7 @@
 //! The state machine of one attempt of a request at a replica.
 
 use crate::prompt_cache::CacheSource;
+use crate::replica::DeduplicationGroups;
 use crate::types::{AttemptOutcome, ReplicaId, Seconds};
 
 /// The state of an attempt.
@@ -22,6 +23,8 @@
 
 pub(crate) struct Attempt {
     pub(crate) replica: ReplicaId,
+    /// The replica's groups when the attempt was placed.
+    pub(crate) deduplication_groups: DeduplicationGroups,
     pub(crate) sent_at: Seconds,
     /// Prompt tokens that the replica is expected not to have in its cache.
     pub(crate) prefill_tokens: f64,
@@ -34,6 +37,7 @@
 impl Attempt {
     pub(crate) fn new(
         replica: ReplicaId,
+        deduplication_groups: DeduplicationGroups,
         sent_at: Seconds,
         prefill_tokens: f64,
         cache_source: CacheSource,
@@ -41,6 +45,7 @@
     ) -> Self {
         Attempt {
             replica,
+            deduplication_groups,
             sent_at,
             prefill_tokens,
             cache_source,
--- a/crates/scheduler/src/attempt/tests.rs
+++ b/crates/scheduler/src/attempt/tests.rs
@@ -2,11 +2,19 @@
 
 use super::Attempt;
 use crate::prompt_cache::CacheSource;
+use crate::replica::DeduplicationGroups;
 use crate::types::{AttemptOutcome, ReplicaId};
 
 fn attempt() -> Attempt {
     let replica = ReplicaId("10.0.0.1:80".parse().unwrap());
-    Attempt::new(replica, 1.0, 500.0, CacheSource::SharedPrefix, 0.2)
+    Attempt::new(
+        replica,
+        DeduplicationGroups::default(),
+        1.0,
+        500.0,
+        CacheSource::SharedPrefix,
+        0.2,
+    )
 }
 
 #[test]
--- a/crates/scheduler/src/latency_estimate.rs
+++ b/crates/scheduler/src/latency_estimate.rs
@@ -159,6 +159,7 @@
     Candidate {
         attempt: Attempt::new(
             id,
+            replica.deduplication_groups(),
             view.now,
             prefill_tokens,
             cached.source,
--- a/crates/scheduler/src/replica.rs
+++ b/crates/scheduler/src/replica.rs
@@ -296,8 +296,25 @@
         rendezvous::score(session, self.address_key, weight)
     }
 
-    /// Whether the two replicas deduplicate repeated requests together.
-    pub(crate) fn shares_deduplication(&self, other: &Replica, scope: DeduplicationScope) -> bool {
+    /// The groups of replicas with which this one recognises repeated requests, by its current entry on the endpoint list.
+    pub(crate) fn deduplication_groups(&self) -> DeduplicationGroups {
+        DeduplicationGroups {
+            zone: self.zone,
+            cell: self.cell,
+        }
+    }
+}
+
+/// The groups of replicas with which a replica recognises repeated requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct DeduplicationGroups {
+    zone: usize,
+    cell: usize,
+}
+
+impl DeduplicationGroups {
+    /// Whether replicas of these two groups recognise repeats of each other's requests.
+    pub(crate) fn are_shared(self, other: DeduplicationGroups, scope: DeduplicationScope) -> bool {
         match scope {
             DeduplicationScope::AllReplicas => true,
             DeduplicationScope::Zone => self.zone == other.zone,
--- a/crates/scheduler/src/retry.rs
+++ b/crates/scheduler/src/retry.rs
@@ -4,6 +4,9 @@
 //! placement, since its connection may be established late and its body may be written slowly. Therefore each attempt of such
 //! a request, the first one too, has a time by which its last byte must be written.
 //!
+//! The replicas that recognise a repeat are those of the group that the first attempt's replica had when it was placed: another
+//! process may take over its name or its address later.
+//!
 //! Invariant: the attempts of a keyed request that may have run were all written within the retention after the first of them
 //! was placed, in whichever order their connections were established.
 
@@ -73,10 +76,10 @@
         return true;
     };
     let is_in_scope = match view.settings.classes[request.class()].idempotency {
-        Idempotency::Keyed { scope, .. } => view
-            .replicas
-            .get(first.replica)
-            .is_some_and(|first| replica.shares_deduplication(first, scope)),
+        Idempotency::Keyed { scope, .. } => {
+            let groups = replica.deduplication_groups();
+            groups.are_shared(first.deduplication_groups, scope)
+        }
         Idempotency::Idempotent | Idempotency::NonIdempotent => true,
     };
     is_in_scope && may_repeat(view.settings, request, view.now)
--- a/crates/scheduler/tests/retry.rs
+++ b/crates/scheduler/tests/retry.rs
@@ -5,11 +5,12 @@
 mod support;
 
 use poppykeel_scheduler::{
-    Action, AttemptOutcome, DeduplicationScope, Idempotency, LoadReportSource, ReplicaId,
-    RequestId, Seconds, SiteLimits,
+    Action, AttemptOutcome, DeduplicationScope, Endpoint, EndpointState, Event, Idempotency,
+    LoadReportSource, ReplicaId, RequestId, Seconds, SiteLimits,
 };
 use support::{
-    answered_requests, incoming_request, replica_id, settings, started_attempts, SchedulerHarness,
+    answered_requests, endpoint, incoming_request, replica_id, settings, started_attempts,
+    SchedulerHarness,
 };
 
 /// The time by which a stall of the process may delay a write.
@@ -246,3 +247,31 @@
         "{hedged} hedged attempts after {firsts} first attempts, none of which is answered"
     );
 }
+
+/// Guards against a keyed request that runs twice because another process takes the name of the replica that may have run it:
+/// the repeat must stay with the replicas that recognised repeats when the first attempt was placed.
+#[test]
+fn repeat_stays_with_the_replicas_that_know_the_first_attempt() {
+    for scope in [DeduplicationScope::Zone, DeduplicationScope::Cell] {
+        let mut site = settings();
+        site.classes[0].idempotency = Idempotency::Keyed {
+            scope,
+            retention: 5.0,
+        };
+        let mut harness = SchedulerHarness::new(site, 4);
+        let arrived = harness.arrive(incoming_request(1, 0, 0, 5.0));
+        let first = started_attempts(&arrived)[0].replica;
+        let number = (0..4).find(|number| replica_id(*number) == first).unwrap();
+        let other_group = endpoint(number + 1, EndpointState::Available, None);
+        let moved = Endpoint {
+            id: first,
+            ..other_group
+        };
+        harness.handle(Event::EndpointsChanged(vec![moved]));
+        let actions = harness.end_attempt(1, 0, AttemptOutcome::ConnectionReset, false);
+        let retries = started_attempts(&actions);
+        let same_group = replica_id((number + 2) % 4);
+        assert_eq!(retries.len(), 1, "{scope:?}: {actions:?}");
+        assert_eq!(retries[0].replica, same_group, "{scope:?}");
+    }
+}
