Use no idle connection to a replica's earlier process

Cause: pooled connections were keyed by the replica's name and address.

Change: the key is the process: name, start by the list, and address. Idle connections of an earlier process expire unused.

--- a/src/routing/directory.rs
+++ b/src/routing/directory.rs
@@ -102,6 +102,11 @@
         self.listed.get(&id).map(|listed| listed.addr)
     }
 
+    /// When a replica's process started by its entry, in milliseconds of Unix time; `None` if it is not listed.
+    pub fn started_ms(&self, id: ReplicaId) -> Option<i64> {
+        self.listed.get(&id).map(|listed| listed.started_ms)
+    }
+
     /// The index of a replica's zone; `None` if the replica is not listed.
     pub fn zone(&self, id: ReplicaId) -> Option<usize> {
         self.listed.get(&id).map(|listed| listed.endpoint.zone)
--- a/src/transport/dispatcher/commands.rs
+++ b/src/transport/dispatcher/commands.rs
@@ -116,7 +116,7 @@
         placement: AttemptPlacement,
     ) -> Option<AttemptRequest> {
         let AttemptPlacement { id, replica, .. } = placement;
-        let addr = self.directory.addr(replica)?;
+        let address = self.replica_address(replica)?;
         let client = self.waiting_clients.get(id.request)?;
         let settings = &self.replica_client.site().scheduler;
         let begin_delay = max_write_start_delay(settings.lifecycle.drain_grace);
@@ -126,7 +126,7 @@
         Some(AttemptRequest {
             request: id.request,
             attempt: id.attempt,
-            address: ReplicaAddress { replica, addr },
+            address,
             placed_at: now,
             deadline: placement.deadline,
             write_by: placement.write_by,
@@ -161,7 +161,16 @@
     }
 
     fn start_probe(&self, replica: ReplicaId) {
-        let addr = self.directory.addr(replica);
-        tokio::task::spawn_local(self.replica_client.clone().run_probe(replica, addr));
+        let address = self.replica_address(replica);
+        tokio::task::spawn_local(self.replica_client.clone().run_probe(replica, address));
+    }
+
+    /// The process of a replica and its address; `None` if the replica is not listed.
+    fn replica_address(&self, replica: ReplicaId) -> Option<ReplicaAddress> {
+        Some(ReplicaAddress {
+            replica,
+            started_ms: self.directory.started_ms(replica)?,
+            addr: self.directory.addr(replica)?,
+        })
     }
 }
--- a/src/transport/replica/pool.rs
+++ b/src/transport/replica/pool.rs
@@ -16,12 +16,15 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// A replica and the address where it listens. Together they identify the pool entry: a new replica may listen at the
-/// address of a removed one, and a replica may move to another address; neither may reuse the earlier connections.
+/// A process of a replica and the address where it listens. Together they identify the pool entry: a new replica may listen at
+/// the address of a removed one, a replica may be restarted, and it may move to another address; none may reuse the earlier
+/// connections. Those become idle and expire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ReplicaAddress {
     /// Stays the same if the replica moves to another address.
     pub replica: ReplicaId,
+    /// The start of its process as the endpoint list gives it, in milliseconds of Unix time; 0 if it started long ago.
+    pub started_ms: i64,
     /// The address where it listens.
     pub addr: SocketAddr,
 }
--- a/src/transport/replica/probes.rs
+++ b/src/transport/replica/probes.rs
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use poppykeel_scheduler::{AttemptOutcome, LoadReport, ReplicaId};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A longer response body counts as an error of the replica. The limit is checked before each part, so the body may exceed
@@ -47,11 +46,11 @@
 
 impl ReplicaClient {
     /// Probes a replica and reports the result to the dispatcher. A replica without an address counts as unreachable.
-    pub async fn run_probe(self, replica: ReplicaId, addr: Option<SocketAddr>) {
-        let end = match addr {
+    pub async fn run_probe(self, replica: ReplicaId, address: Option<ReplicaAddress>) {
+        let end = match address {
             None => ProbeResult::without_report(AttemptOutcome::ConnectFailed),
-            Some(addr) => {
-                let probe = self.probe(ReplicaAddress { replica, addr });
+            Some(address) => {
+                let probe = self.probe(address);
                 tokio::time::timeout(self.limits.probe_timeout, probe)
                     .await
                     .unwrap_or_else(|_| ProbeResult::without_report(AttemptOutcome::TimedOut))
--- a/tests/abandoned_attempts.rs
+++ b/tests/abandoned_attempts.rs
@@ -176,6 +176,7 @@
             attempt: 0,
             address: ReplicaAddress {
                 replica: replica_id("s-1"),
+                started_ms: 0,
                 addr: replica.local_addr().unwrap(),
             },
             placed_at: 0,
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -41,6 +41,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = ReplicaAddress {
         replica: replica_id("s-1"),
+        started_ms: 0,
         addr: listener.local_addr().unwrap(),
     };
     let pool = ConnectionPool::new(9, MINUTE, MINUTE);
@@ -90,6 +91,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = ReplicaAddress {
         replica: replica_id("s-1"),
+        started_ms: 0,
         addr: listener.local_addr().unwrap(),
     };
     let pool = ConnectionPool::new(9, MINUTE, 9 * MINUTE);
@@ -123,6 +125,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = ReplicaAddress {
         replica: replica_id("s-1"),
+        started_ms: 0,
         addr: listener.local_addr().unwrap(),
     };
     let pool = ConnectionPool::new(9, MINUTE, 9 * MINUTE);
@@ -198,6 +201,7 @@
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = ReplicaAddress {
         replica: replica_id("s-1"),
+        started_ms: 0,
         addr: listener.local_addr().unwrap(),
     };
     let (dispatcher, _messages) = mpsc::channel(16);
@@ -238,6 +242,7 @@
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = ReplicaAddress {
         replica: replica_id("s-1"),
+        started_ms: 0,
         addr: listener.local_addr().unwrap(),
     };
     let (dispatcher, mut messages) = mpsc::channel(16);
