Give a stream up as stalled only if no byte has arrived for the whole limit

What callers saw (a picture told by operators, shown by tests): a long answer that its replica still wrote, slowly and regularly, was cut off after the process had stood still, or while the framing of a chunk came byte by byte.

Cause: a timeout round the next part was taken for a silence; bytes may wait in the kernel or complete no part yet.

Change: when the timer fires, Socket::silence tells for how long nothing has arrived, by the kernel's buffer and the time of the last read.

Measured: slow_answer_is_whole_through_a_shutdown_and_a_suspension (its suspended half) and event_that_comes_byte_by_byte_is_not_cut_off failed before, pass now. The shutdown, and final_answer_is_in_time_while_replicas_read_a_large_request_slowly, held before, too.

--- a/crates/stream-recovery/src/stall_detection.rs
+++ b/crates/stream-recovery/src/stall_detection.rs
@@ -57,6 +57,11 @@
         is_replica_gap.then_some(gap)
     }
 
+    /// Records that bytes have arrived at `at` which complete no part of an event. The silence is measured from then on.
+    pub fn record_bytes(&mut self, at: Micros) {
+        self.last_event_at = self.last_event_at.max(at);
+    }
+
     /// Records that the client does not accept data. From now on, silence is not attributed to the replica.
     pub fn client_blocked(&mut self, now: Micros) {
         self.client_blocked_since.get_or_insert(now);
--- a/src/transport/replica/response_forwarder.rs
+++ b/src/transport/replica/response_forwarder.rs
@@ -6,7 +6,7 @@
 use super::attempts::{AttemptRequest, ReplicaClient};
 use super::connection::ReplicaConnection;
 use super::stream_monitor::MonitoredStream;
-use crate::protocol::http::MessagePart;
+use crate::protocol::http::{HttpParseError, MessagePart};
 use crate::protocol::response::{ResponseReader, ResponseStep};
 use crate::routing::{DurationMicros, MonotonicMicros};
 use crate::transport::messages::{DispatcherMessage, StartedStream, StreamChunk};
@@ -34,6 +34,16 @@
     NotDelivered(AttemptOutcome),
 }
 
+impl ReplicaInput {
+    /// The result of a read of the next part; `None` at the end of the connection.
+    fn from_read(read: Option<Result<MessagePart, HttpParseError>>) -> ReplicaInput {
+        match read {
+            Some(Ok(part)) => ReplicaInput::Part(part),
+            Some(Err(_)) | None => ReplicaInput::Broken,
+        }
+    }
+}
+
 /// Forwards the response of one attempt to the client.
 pub(super) struct ResponseForwarder<'a> {
     client: &'a ReplicaClient,
@@ -87,27 +97,33 @@
 
     /// Reads the next input, for as long as the stream may be silent. Cancel-safe: the codec keeps what it has read.
     async fn read_next(&self, connection: &mut ReplicaConnection) -> ReplicaInput {
-        let next = connection.http_mut().next();
-        let silence_limit = self
-            .stream
-            .as_ref()
-            .and_then(MonitoredStream::time_to_stall);
-        let part = match silence_limit {
-            None => next.await,
-            Some(silence_us) => {
-                let limit = Duration::from_micros(silence_us);
-                match tokio::time::timeout(limit, next).await {
-                    Ok(part) => part,
-                    Err(_) => return ReplicaInput::Stalled { silence_us },
-                }
-            }
+        let Some((stream, limit_us)) = self.silence_limit() else {
+            return ReplicaInput::from_read(connection.http_mut().next().await);
         };
-        match part {
-            Some(Ok(part)) => ReplicaInput::Part(part),
-            Some(Err(_)) | None => ReplicaInput::Broken,
+        let mut left_us = limit_us;
+        loop {
+            let left = Duration::from_micros(left_us);
+            if let Ok(read) = tokio::time::timeout(left, connection.http_mut().next()).await {
+                return ReplicaInput::from_read(read);
+            }
+            // A timer alone does not show a silence: bytes may wait in the kernel, since the process stood still, or may have
+            // completed no part yet.
+            stream.record_silence(connection.http().get_ref().silence());
+            left_us = stream.time_to_stall().unwrap_or(0);
+            if left_us == 0 {
+                return ReplicaInput::Stalled {
+                    silence_us: limit_us,
+                };
+            }
         }
     }
 
+    /// The stream, and for how long it may be silent from now on; `None` while silence is not counted.
+    fn silence_limit(&self) -> Option<(&MonitoredStream, DurationMicros)> {
+        let stream = self.stream.as_ref()?;
+        Some((stream, stream.time_to_stall()?))
+    }
+
     /// Processes a part of the response and appends the resulting steps.
     pub(super) fn handle_part(&mut self, part: MessagePart, steps: &mut Vec<ResponseStep>) {
         if let Some(stream) = &self.stream {
--- a/src/transport/replica/stream_monitor.rs
+++ b/src/transport/replica/stream_monitor.rs
@@ -127,6 +127,13 @@
         }
     }
 
+    /// Records for how long no byte has arrived from the replica, whether or not the bytes before completed an event.
+    pub fn record_silence(&self, silence: Duration) {
+        let silence_us = u64::try_from(silence.as_micros()).unwrap_or(u64::MAX);
+        let at = self.monitor.now().saturating_sub(silence_us);
+        self.detector.borrow_mut().record_bytes(at);
+    }
+
     /// Time until the stream counts as stalled if no bytes arrive; `None` while silence is not counted.
     pub fn time_to_stall(&self) -> Option<DurationMicros> {
         let deadline = self.detector.borrow().stall_deadline();
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -9,7 +9,7 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, Interest, ReadBuf, Ready};
 use tokio::net::TcpStream;
 
@@ -31,14 +31,21 @@
 
 /// A connected socket.
 #[derive(Debug)]
-pub struct Socket(TcpStream);
+pub struct Socket {
+    stream: TcpStream,
+    /// When bytes were last read; at first, when the socket was created.
+    last_read_at: Instant,
+}
 
 impl From<TcpStream> for Socket {
     /// Wraps a connection and turns Nagle's algorithm off, so that an event does not wait for the next one.
     fn from(stream: TcpStream) -> Socket {
         // This can fail if the connection has ended, which the first read or write reports.
         let _ = stream.set_nodelay(true);
-        Socket(stream)
+        Socket {
+            stream,
+            last_read_at: Instant::now(),
+        }
     }
 }
 
@@ -64,7 +71,16 @@
     ///
     /// Fails with `WouldBlock` if there is nothing to read, or with the connection's own error.
     pub fn unread(&self) -> io::Result<usize> {
-        uninterrupted(|| socket2::SockRef::from(&self.0).peek(&mut [MaybeUninit::uninit()]))
+        uninterrupted(|| socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]))
+    }
+
+    /// How long nothing has arrived: zero if the kernel has input that was not read yet, otherwise the time since the last read.
+    /// After the process stood still, or within a message whose bytes come one by one, this tells whether the peer is silent.
+    pub fn silence(&self) -> Duration {
+        match self.unread() {
+            Err(e) if e.kind() == ErrorKind::WouldBlock => self.last_read_at.elapsed(),
+            Ok(_) | Err(_) => Duration::ZERO,
+        }
     }
 
     /// Waits until there are bytes to read, without consuming them. 0 means that the peer has closed its end. Cancel-safe.
@@ -75,7 +91,7 @@
     pub async fn peek(&self) -> io::Result<usize> {
         let mut byte = [0];
         loop {
-            match self.0.peek(&mut byte).await {
+            match self.stream.peek(&mut byte).await {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 result => return result,
             }
@@ -88,7 +104,7 @@
     ///
     /// Fails with `WouldBlock` if there is nothing to read, or with the connection's own error.
     pub fn try_read(&self, buffer: &mut [u8]) -> io::Result<usize> {
-        uninterrupted(|| self.0.try_read(buffer))
+        uninterrupted(|| self.stream.try_read(buffer))
     }
 
     /// Waits until the socket is ready for the given operations. Cancel-safe.
@@ -97,7 +113,7 @@
     ///
     /// Fails if the runtime is shutting down.
     pub async fn ready(&self, interest: Interest) -> io::Result<Ready> {
-        self.0.ready(interest).await
+        self.stream.ready(interest).await
     }
 
     /// Waits until there may be something to read. Cancel-safe.
@@ -106,7 +122,7 @@
     ///
     /// Fails if the runtime is shutting down.
     pub async fn readable(&self) -> io::Result<()> {
-        self.0.readable().await
+        self.stream.readable().await
     }
 
     /// The socket's own address.
@@ -115,7 +131,7 @@
     ///
     /// Fails with the system's error, which a connected socket does not return.
     pub fn local_addr(&self) -> io::Result<std::net::SocketAddr> {
-        self.0.local_addr()
+        self.stream.local_addr()
     }
 
     /// The peer's address.
@@ -124,7 +140,7 @@
     ///
     /// Fails if the connection has ended.
     pub fn peer_addr(&self) -> io::Result<std::net::SocketAddr> {
-        self.0.peer_addr()
+        self.stream.peer_addr()
     }
 
     /// Sets what happens when the socket is closed; [`CloseMode::Orderly`] at first.
@@ -133,14 +149,14 @@
             CloseMode::Reset => Some(Duration::ZERO),
             CloseMode::Orderly => None,
         };
-        if let Err(e) = socket2::SockRef::from(&self.0).set_linger(linger) {
+        if let Err(e) = socket2::SockRef::from(&self.stream).set_linger(linger) {
             tracing::debug!(why = %e, ?mode, "the close mode of a connection can't be set");
         }
     }
 
     /// The bytes that were written but not sent or not acknowledged yet. Empty if the system does not report them.
     pub fn send_queue(&self) -> SendQueue {
-        SendQueue::read(&self.0).unwrap_or_default()
+        SendQueue::read(&self.stream).unwrap_or_default()
     }
 
     /// Reads and discards input, up to a limit, until the peer has closed its end. Closing with unread bytes would reset the
@@ -163,7 +179,8 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let stream = &self.0;
+        let socket = self.get_mut();
+        let stream = &socket.stream;
         loop {
             // The runtime's own `poll_read` waits for a new readiness event after a short read, but the kernel may not send
             // one for bytes that have already arrived. So this waits only after a read has returned `WouldBlock`.
@@ -172,6 +189,7 @@
             match uninterrupted(|| stream.try_read(buffer.initialize_unfilled_to(length))) {
                 Ok(read) => {
                     buffer.advance(read);
+                    socket.last_read_at = Instant::now();
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
@@ -187,7 +205,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let stream = &self.0;
+        let stream = &self.stream;
         loop {
             ready!(stream.poll_write_ready(context))?;
             match uninterrupted(|| stream.try_write(bytes)) {
@@ -202,7 +220,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let stream = Pin::new(&mut self.get_mut().0);
+        let stream = Pin::new(&mut self.get_mut().stream);
         stream.poll_shutdown(context)
     }
 }
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -37,6 +37,7 @@
     semantics: String,
     discovery: String,
     allows_probes: bool,
+    allows_hedging: bool,
     max_sockets: Option<usize>,
     listen: Option<SocketAddr>,
     environment: Vec<(String, PathBuf)>,
@@ -85,6 +86,12 @@
         self
     }
 
+    /// Whether the site settings allow a second attempt beside the first; `false` by default.
+    pub fn allows_hedging(mut self, allows_hedging: bool) -> Self {
+        self.allows_hedging = allows_hedging;
+        self
+    }
+
     /// Maximum number of sockets (`limits.sockets`); 1,024 by default.
     pub fn max_sockets(mut self, max_sockets: usize) -> Self {
         self.max_sockets = Some(max_sockets);
@@ -137,6 +144,10 @@
             .replace(
                 "\"probes\":false",
                 &format!("\"probes\":{}", self.allows_probes),
+            )
+            .replace(
+                "\"secondCopies\":false",
+                &format!("\"secondCopies\":{}", self.allows_hedging),
             );
         match self.max_sockets {
             Some(max) => config.replace("\"sockets\":1024", &format!("\"sockets\":{max}")),
@@ -206,6 +217,7 @@
             semantics: "\"safe\"".into(),
             discovery: NO_DISCOVERY.into(),
             allows_probes: false,
+            allows_hedging: false,
             max_sockets: None,
             listen: None,
             environment: Vec::new(),
