Share the attempts of two test files

tests/transport.rs and tests/abandoned_attempts.rs built the same replica client and attempt; moved to tests/support/attempts.rs without a change of what is tested.

--- a/tests/abandoned_attempts.rs
+++ b/tests/abandoned_attempts.rs
@@ -7,6 +7,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+#[path = "support/attempts.rs"]
+mod attempts;
 #[allow(
     dead_code,
     reason = "the registry of client connections is for other tests"
@@ -15,21 +17,18 @@
 mod client_registry;
 mod support;
 
-use bytes::Bytes;
+use attempts::{attempt_request, replica_client};
 use client_registry::config;
 use poppykeel::routing::directory::replica_id;
 use poppykeel::routing::MonotonicMicros;
 use poppykeel::transport::clock::Clock;
-use poppykeel::transport::messages::{DispatcherMessage, RequestPayload};
+use poppykeel::transport::messages::DispatcherMessage;
 use poppykeel::transport::replica::attempts::{AttemptRequest, ReplicaClient};
-use poppykeel::transport::replica::pool::{ConnectionPool, ReplicaAddress};
-use poppykeel::transport::replica::stream_monitor::{StreamMonitor, StreamSettings};
-use poppykeel::transport::TransportLimits;
-use poppykeel_scheduler::{AttemptOutcome, RequestId};
+use poppykeel::transport::replica::pool::ReplicaAddress;
+use poppykeel_scheduler::AttemptOutcome;
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::Rc;
 use std::time::Duration;
 use support::{format_request, wait_until, Node, TEST_TIMEOUT};
 use tokio::sync::mpsc::{self, Receiver};
@@ -39,7 +38,6 @@
 const BODY_BYTES: usize = 256 * 1024;
 /// The receive buffer of a replica's connections. The kernel doubles it.
 const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
-const MINUTE: Duration = Duration::from_secs(60);
 const DECLINED: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
 const STREAM: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
@@ -147,21 +145,9 @@
 
 impl Attempts {
     fn new() -> Attempts {
-        let config = config();
         let clock = Clock::start();
-        let limits = TransportLimits {
-            reuse_delay: Duration::ZERO,
-            ..config.transport_limits
-        };
         let (dispatcher, messages) = mpsc::channel(16);
-        let client = ReplicaClient::new(
-            ConnectionPool::new(9, MINUTE, MINUTE),
-            dispatcher,
-            Rc::new(config.settings),
-            Rc::new(limits),
-            Rc::new(StreamMonitor::new(clock, StreamSettings::default())),
-            clock,
-        );
+        let client = replica_client(config(), Duration::ZERO, dispatcher, clock);
         Attempts {
             client,
             messages,
@@ -171,26 +157,12 @@
 
     /// An attempt without a deadline.
     fn request(&self, replica: &TcpListener, body_bytes: usize) -> AttemptRequest {
-        AttemptRequest {
-            request: RequestId(1),
-            attempt: 0,
-            address: ReplicaAddress {
-                replica: replica_id("s-1"),
-                started_ms: 0,
-                addr: replica.local_addr().unwrap(),
-            },
-            placed_at: 0,
-            deadline: MonotonicMicros::MAX,
-            write_by: None,
-            begin_by: None,
-            inter_token_objective: None,
-            cross_zone_group: None,
-            payload: Rc::new(RequestPayload {
-                head: b"POST / HTTP/1.1\r\n".to_vec(),
-                body: Bytes::from(vec![b'x'; body_bytes]),
-            }),
-            has_begun: Rc::default(),
-        }
+        let address = ReplicaAddress {
+            replica: replica_id("s-1"),
+            started_ms: 0,
+            addr: replica.local_addr().unwrap(),
+        };
+        attempt_request(1, address, vec![b'x'; body_bytes].into())
     }
 
     /// Waits for the outcome of an attempt.
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -2,27 +2,27 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+#[path = "support/attempts.rs"]
+mod attempts;
 #[path = "support/client_registry.rs"]
 mod client_registry;
 
+use attempts::{attempt_request, replica_client};
 use bytes::Bytes;
 use client_registry::{config, registry};
 use futures_util::{SinkExt, StreamExt};
-use poppykeel::program::config::NodeConfig;
 use poppykeel::protocol::http::{EncodedMessage, MessagePart};
 use poppykeel::routing::directory::replica_id;
 use poppykeel::routing::MonotonicMicros;
 use poppykeel::transport::client::connection::ClientConnection;
 use poppykeel::transport::client::listener::accept_connections;
 use poppykeel::transport::clock::Clock;
-use poppykeel::transport::messages::{DispatcherMessage, RequestPayload};
+use poppykeel::transport::messages::DispatcherMessage;
 use poppykeel::transport::node_phase::NodePhase;
-use poppykeel::transport::replica::attempts::{AttemptRequest, ReplicaClient};
+use poppykeel::transport::replica::attempts::AttemptRequest;
 use poppykeel::transport::replica::connection::ReplicaConnection;
 use poppykeel::transport::replica::pool::{ConnectionPool, ReplicaAddress};
-use poppykeel::transport::replica::stream_monitor::{StreamMonitor, StreamSettings};
-use poppykeel::transport::TransportLimits;
-use poppykeel_scheduler::{AttemptOutcome, RequestId};
+use poppykeel_scheduler::AttemptOutcome;
 use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::TcpListener;
@@ -154,47 +154,6 @@
     );
 }
 
-/// A replica client with a reuse delay of one minute.
-fn replica_client(
-    config: NodeConfig,
-    dispatcher: mpsc::Sender<DispatcherMessage>,
-) -> ReplicaClient {
-    let clock = Clock::start();
-    let limits = TransportLimits {
-        reuse_delay: MINUTE,
-        ..config.transport_limits
-    };
-    ReplicaClient::new(
-        ConnectionPool::new(9, MINUTE, MINUTE),
-        dispatcher,
-        Rc::new(config.settings),
-        Rc::new(limits),
-        Rc::new(StreamMonitor::new(clock, StreamSettings::default())),
-        clock,
-    )
-}
-
-/// The first attempt of a request, without limits of time.
-fn attempt_request(request: u64, address: ReplicaAddress, body: Bytes) -> AttemptRequest {
-    let payload = RequestPayload {
-        head: b"POST / HTTP/1.1\r\n".to_vec(),
-        body,
-    };
-    AttemptRequest {
-        request: RequestId(request),
-        attempt: 0,
-        address,
-        placed_at: 0,
-        deadline: MonotonicMicros::MAX,
-        write_by: None,
-        begin_by: None,
-        inter_token_objective: None,
-        cross_zone_group: None,
-        payload: Rc::new(payload),
-        has_begun: Rc::default(),
-    }
-}
-
 /// Runs whole attempts to a replica that sends its response twice: the next request does not receive the repeated response.
 #[tokio::test]
 async fn repeated_response_is_not_taken_for_that_of_the_next_request() {
@@ -205,7 +164,7 @@
         addr: listener.local_addr().unwrap(),
     };
     let (dispatcher, _messages) = mpsc::channel(16);
-    let replica_client = replica_client(config(), dispatcher);
+    let replica_client = replica_client(config(), MINUTE, dispatcher, Clock::start());
     let attempt = |request| {
         let attempt_request = attempt_request(request, address, Bytes::new());
         tokio::task::spawn_local(replica_client.clone().run_attempt(attempt_request))
@@ -246,7 +205,7 @@
         addr: listener.local_addr().unwrap(),
     };
     let (dispatcher, mut messages) = mpsc::channel(16);
-    let replica_client = replica_client(config(), dispatcher);
+    let replica_client = replica_client(config(), MINUTE, dispatcher, Clock::start());
     let has_begun = Rc::new(Cell::new(false));
     let attempt_request = AttemptRequest {
         write_by: Some(WRITE_TIME_US),
