--- a/src/transport/client/connection/disconnect.rs
+++ b/src/transport/client/connection/disconnect.rs
@@ -16,8 +16,6 @@
 const READ_BUFFER_BYTES: usize = 4096;
 /// Other tasks run after this many reads.
 const READS_PER_TURN: usize = 16;
-/// Maximum number of bytes discarded for one response. A client that sends more is not served any further.
-const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 
 /// The client has closed or broken its connection.
 #[derive(Debug, PartialEq, thiserror::Error)]
@@ -66,7 +64,6 @@
 /// Waits until a client has closed its connection, possibly after bytes sent ahead, or has sent too much. Cancel-safe.
 async fn wait_for_close(http: &mut HttpConnection, sent_ahead: &mut SentAhead) {
     let mut buffer = [0; READ_BUFFER_BYTES];
-    let mut discarded_bytes = 0;
     loop {
         for _ in 0..READS_PER_TURN {
             if http.get_ref().readable().await.is_err() {
@@ -77,13 +74,13 @@
                 Ok(length) if sent_ahead.try_keep(length, http.read_buffer().len()) => {
                     http.read_buffer_mut().extend_from_slice(&buffer[..length]);
                 }
-                Ok(length) => discarded_bytes += length,
+                Ok(length) => sent_ahead.record_discarded(length),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
         }
         tokio::task::yield_now().await;
-        if discarded_bytes > MAX_DISCARDED_BYTES {
+        if sent_ahead.is_endless() {
             return;
         }
     }
--- a/src/transport/client/connection/sent_ahead.rs
+++ b/src/transport/client/connection/sent_ahead.rs
@@ -8,12 +8,15 @@
 const UNCOUNTED_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes kept for one connection: a request with the longest body.
 const MAX_KEPT_BYTES: usize = UNCOUNTED_BYTES + MAX_BODY_BYTES;
+/// Maximum number of bytes discarded for one connection. A client that sends more is not served any further.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 
 /// What a client has sent ahead: its memory, and whether some of it was discarded.
 pub(super) struct SentAhead {
     registry: Rc<ConnectionRegistry>,
     memory: BodyMemoryPermit,
     has_overrun: bool,
+    discarded_bytes: usize,
 }
 
 impl SentAhead {
@@ -22,6 +25,7 @@
             memory: BodyMemoryPermit::new(registry.clone()),
             registry,
             has_overrun: false,
+            discarded_bytes: 0,
         }
     }
 
@@ -40,6 +44,15 @@
         !self.has_overrun
     }
 
+    pub(super) fn record_discarded(&mut self, bytes: usize) {
+        self.discarded_bytes += bytes;
+    }
+
+    /// Whether so much was discarded that the client counts as one that has left.
+    pub(super) fn is_endless(&self) -> bool {
+        self.discarded_bytes > MAX_DISCARDED_BYTES
+    }
+
     /// Frees the memory once the bytes have been read as a request.
     pub(super) fn release(&mut self) {
         self.memory = BodyMemoryPermit::new(self.registry.clone());
