Begin no attempt after a suspension that was placed before it

Cause: the process was stopped between the placement and the first write. When it goes on, the dispatcher notices the suspension first, and the attempt, which asks whether one is unnoticed, finds none, before the client's close is read.

Change: an attempt asks whether the process was suspended after its placement; it then counts as not sent and is placed anew.

--- a/src/transport/replica/attempts.rs
+++ b/src/transport/replica/attempts.rs
@@ -256,11 +256,13 @@
         Ok(connection)
     }
 
-    /// Whether an attempt may no longer begin: its replica may be draining, and the node may not have been notified yet.
+    /// Whether an attempt may no longer begin: its replica may be draining, and the node may not have been notified yet; or the
+    /// process was suspended after it was placed, and its client may have left.
     fn is_outdated(&self, attempt: &AttemptRequest, now: MonotonicMicros) -> bool {
         let is_late = attempt.begin_by.is_some_and(|begin_by| now > begin_by);
         let is_list_stale = is_late && !self.is_list_confirmed.get();
-        is_list_stale || self.suspension_detector.was_suspended(now)
+        let detector = &self.suspension_detector;
+        is_list_stale || detector.was_suspended_after(attempt.placed_at, now)
     }
 
     /// Logs that a request has been written, and how long that took since the choice of the replica.
--- a/src/transport/suspension_detector.rs
+++ b/src/transport/suspension_detector.rs
@@ -37,6 +37,13 @@
         self.time_since_iteration(now) > MAX_ITERATION_GAP
     }
 
+    /// Whether the process was suspended after `at`. What was decided at that time must not take effect any more before the
+    /// input that has arrived meanwhile is read.
+    pub fn was_suspended_after(&self, at: MonotonicMicros, now: MonotonicMicros) -> bool {
+        let last = self.last_suspension.get();
+        self.was_suspended(now) || last.is_some_and(|last| last.detected_at > at)
+    }
+
     /// The time since the last iteration; 0 before the first one.
     pub fn time_since_iteration(&self, now: MonotonicMicros) -> DurationMicros {
         let last_iteration_at = self.last_iteration_at.get().unwrap_or(now);
--- a/src/transport/suspension_detector/tests.rs
+++ b/src/transport/suspension_detector/tests.rs
@@ -44,3 +44,14 @@
         2 * MAX_ITERATION_GAP + second
     );
 }
+
+#[test]
+fn decision_before_a_suspension_is_outdated_after_it() {
+    let detector = SuspensionDetector::default();
+    detector.record_iteration(1_000);
+    let resumed_at = 2_000 + MAX_ITERATION_GAP;
+    assert!(detector.was_suspended_after(1_000, resumed_at));
+    detector.record_iteration(resumed_at);
+    assert!(detector.was_suspended_after(1_000, resumed_at + 1));
+    assert!(!detector.was_suspended_after(resumed_at, resumed_at + 1));
+}
--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -8,7 +8,10 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use support::{accept_request, format_request, Node, TEST_TIMEOUT};
+use support::{
+    accept_request, expect_no_bytes, format_request, is_connecting_to, start_full_listener,
+    wait_until, Node, PollAnswer, ScriptedDiscovery, TEST_TIMEOUT,
+};
 
 /// Longer than any wait of a test, so that no deadline ends a request.
 const DEADLINE_S: f64 = 60.0;
@@ -113,3 +116,38 @@
         expect_next_request_is_of_another_client(&node, &replica);
     }
 }
+
+/// The process stands still while an attempt connects, its client leaves meanwhile, and the connection is up when the process goes
+/// on: the attempt was decided before the suspension, and must not begin after it.
+#[test]
+fn connecting_attempt_does_not_begin_if_its_client_left_while_the_process_stood_still() {
+    std::thread::scope(|scope| {
+        for number in 0..8 {
+            scope.spawn(move || {
+                let (replica, queued) = start_full_listener();
+                let addr = replica.local_addr().unwrap();
+                let list = r#"{"version":41,"full":false,"servers":[]}"#.to_string();
+                let discovery = ScriptedDiscovery::start(&[PollAnswer::List(list)]);
+                let node = Node::builder(&format!("suspended-{number}"))
+                    .replicas(&[addr])
+                    .semantics("unsafe")
+                    .discovery(&discovery.addr.to_string())
+                    .start();
+                node.wait_for_log("endpoint list confirmed");
+                let mut client = node.connect();
+                let request = format_request("00000000000000d0", "", "", DEADLINE_S);
+                client.write_all(request.as_bytes()).unwrap();
+                wait_until("the connection attempt", || is_connecting_to(addr.port()));
+                node.signal("-STOP");
+                drop(client);
+                // The kernel's next SYN retransmission can now establish the connection.
+                for _ in &queued {
+                    drop(replica.accept().unwrap());
+                }
+                wait_until("the connection", || !is_connecting_to(addr.port()));
+                node.signal("-CONT");
+                expect_no_bytes(&replica);
+            });
+        }
+    });
+}
