Let the testbed's model servers listen where no outgoing connection takes their port

Cause: a stub model server took a port of the ephemeral range and gave it up for a restart; an outgoing connection of a node took it meanwhile.

--- a/crates/testbed/src/fault_injection/ports.rs
+++ b/crates/testbed/src/fault_injection/ports.rs
@@ -1,18 +1,12 @@
 //! Allocation of loopback ports that are free for both UDP and TCP.
 
-use rand::RngExt;
+use crate::sockets::restart_ports::{next_restart_port, RESTART_PORT_COUNT};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::OnceLock;
 use tokio::net::{TcpListener, UdpSocket};
 
 /// The maximum number of attempts to find a port that is free for both TCP and UDP.
 const MAX_ATTEMPTS: usize = 50;
-/// The first port for processes that restart on the same port. These ports are below the range of ephemeral ports.
-const FIRST_RESTART_PORT: u16 = 10_000;
-/// The number of ports for processes that restart on the same port.
-const RESTART_PORT_COUNT: u16 = 20_000;
 
 /// A port that stays bound until this value is dropped.
 pub(super) struct BoundPort {
@@ -32,17 +26,6 @@
     bind_first_free((0..RESTART_PORT_COUNT).map(|_| next_restart_port())).await
 }
 
-fn next_restart_port() -> u16 {
-    static FIRST_OFFSET: OnceLock<u16> = OnceLock::new();
-    static ALLOCATED_COUNT: AtomicU16 = AtomicU16::new(0);
-    // Programs that run at the same time start at different ports.
-    let first_offset =
-        *FIRST_OFFSET.get_or_init(|| rand::rng().random_range(0..RESTART_PORT_COUNT));
-    let allocated_count = ALLOCATED_COUNT.fetch_add(1, Ordering::Relaxed);
-    let offset = (first_offset + allocated_count % RESTART_PORT_COUNT) % RESTART_PORT_COUNT;
-    FIRST_RESTART_PORT + offset
-}
-
 /// Binds the first of these ports that is free; 0 lets the system choose a port.
 async fn bind_first_free(ports: impl Iterator<Item = u16>) -> io::Result<BoundPort> {
     let mut last_error = io::ErrorKind::AddrInUse.into();
--- a/crates/testbed/src/fault_injection/ports/tests.rs
+++ b/crates/testbed/src/fault_injection/ports/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of port allocation.
 
 use super::*;
+use crate::sockets::restart_ports::FIRST_RESTART_PORT;
 
 /// Far more ports than the fleets of one process use.
 const ALLOCATION_COUNT: usize = 2_000;
--- a/crates/testbed/src/sockets/mod.rs
+++ b/crates/testbed/src/sockets/mod.rs
@@ -12,6 +12,7 @@
 mod local_deployment;
 mod local_fleet;
 mod node_config;
+pub(crate) mod restart_ports;
 mod serving_node;
 mod stub_discovery;
 mod stub_model_server;
--- a/crates/testbed/src/sockets/stub_model_server/mod.rs
+++ b/crates/testbed/src/sockets/stub_model_server/mod.rs
@@ -10,6 +10,7 @@
 use crate::emulator::model_server::{
     AttemptKey, GeneratedTokens, ModelServer, RequestCounts, ServerOutput, ServerProfile,
 };
+use crate::sockets::restart_ports::listen_on_restart_port;
 use crate::Micros;
 use answers::AnswerSender;
 use poppykeel_scheduler::RequestId;
@@ -91,7 +92,7 @@
 impl StubModelServer {
     /// Starts a warm server on a free port. Its tasks run until the enclosing `LocalSet` is dropped.
     pub async fn start(profile: ServerProfile) -> Result<StubModelServer, SocketsError> {
-        let listener = TcpListener::bind("127.0.0.1:0")
+        let listener = listen_on_restart_port()
             .await
             .map_err(SocketsError::ModelServer)?;
         let address = listener.local_addr().map_err(SocketsError::ModelServer)?;
