Log streams that are given up or left by their clients, with the waits for events and bytes

Two lines: a stream that the node gives up, with the time since the last event, the time since the last byte and the part of the response that would have come next; and a client that leaves a stream which had no event for as long as it may be silent.

The stall detector has two times for that, of the last complete event and of the last byte; stalls are still counted from the last byte. The gaps of a replica in its histogram are now those between complete events instead of parts of the response.

--- a/crates/stream-recovery/src/stall_detection.rs
+++ b/crates/stream-recovery/src/stall_detection.rs
@@ -22,7 +22,10 @@
 /// Detects stalls of one stream.
 #[derive(Clone, Debug)]
 pub struct StallDetector {
+    /// When an event was last complete, plus the time for which the client has not accepted data since.
     last_event_at: Micros,
+    /// When bytes last arrived, or when the client last began to accept data again.
+    last_bytes_at: Micros,
     silence_limit: Micros,
     /// The replica's long gap; `None` if unknown.
     long_gap: Option<Micros>,
@@ -39,6 +42,7 @@
     pub fn new(now: Micros, silence_limit: Micros, long_gap: Option<Micros>) -> Self {
         StallDetector {
             last_event_at: now,
+            last_bytes_at: now,
             silence_limit,
             long_gap,
             client_blocked_since: None,
@@ -47,19 +51,35 @@
         }
     }
 
-    /// Records that an event, or a part of one, has arrived. Returns the gap before it; `None` if the client caused the
-    /// gap or the stream has ended.
+    /// Records that an event is complete. Returns the gap since the event before it; `None` if the client caused the gap or
+    /// the stream has ended.
     pub fn record_event(&mut self, now: Micros) -> Option<Micros> {
-        let gap = now.saturating_sub(self.last_event_at);
+        let gap = self.time_since_event(now);
         self.last_event_at = self.last_event_at.max(now);
+        self.record_bytes(now);
         self.has_long_gap = self.is_long(gap);
         let is_replica_gap = self.end.is_none() && self.client_blocked_since.is_none();
         is_replica_gap.then_some(gap)
     }
 
-    /// Records that bytes have arrived at `at` which complete no part of an event. The silence is measured from then on.
+    /// Records that bytes have arrived at `at`, whether or not they complete an event. The silence is measured from then on.
     pub fn record_bytes(&mut self, at: Micros) {
-        self.last_event_at = self.last_event_at.max(at);
+        self.last_bytes_at = self.last_bytes_at.max(at);
+    }
+
+    /// Time since the last event, without that for which the client did not accept data.
+    pub fn time_since_event(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.last_event_at)
+    }
+
+    /// Time since bytes last arrived, or since the client began to accept data again if that is later.
+    pub fn time_since_bytes(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.last_bytes_at)
+    }
+
+    /// Whether no event has come for as long as the stream may be silent.
+    pub fn is_event_late(&self, now: Micros) -> bool {
+        self.time_since_event(now) >= self.silence_limit
     }
 
     /// Records that the client does not accept data. From now on, silence is not attributed to the replica.
@@ -68,10 +88,12 @@
     }
 
     /// Records that the client has accepted all pending data. Events from the replica may have waited in buffers
-    /// meanwhile, so the silence is measured from now.
+    /// meanwhile, so the silence is measured from now, and the time since the last event goes on where it stopped.
     pub fn client_resumed(&mut self, now: Micros) {
-        if self.client_blocked_since.take().is_some() {
-            self.last_event_at = self.last_event_at.max(now);
+        if let Some(blocked_since) = self.client_blocked_since.take() {
+            let blocked = now.saturating_sub(self.last_event_at.max(blocked_since));
+            self.last_event_at = self.last_event_at.saturating_add(blocked);
+            self.record_bytes(now);
         }
     }
 
@@ -89,7 +111,7 @@
     /// and after the end.
     pub fn stall_deadline(&self) -> Option<Micros> {
         let is_watched = self.end.is_none() && self.client_blocked_since.is_none();
-        is_watched.then(|| self.last_event_at.saturating_add(self.silence_limit))
+        is_watched.then(|| self.last_bytes_at.saturating_add(self.silence_limit))
     }
 
     /// The state at `now`, which includes the current gap; the final state if the stream has ended.
@@ -97,12 +119,11 @@
         if let Some(end) = self.end {
             return end;
         }
-        let silence = now.saturating_sub(self.last_event_at);
         if self.client_blocked_since.is_some() {
             StreamState::ClientSlow
-        } else if silence >= self.silence_limit {
+        } else if self.time_since_bytes(now) >= self.silence_limit {
             StreamState::Stalled
-        } else if self.has_long_gap || self.is_long(silence) {
+        } else if self.has_long_gap || self.is_long(self.time_since_event(now)) {
             StreamState::Slow
         } else {
             StreamState::Flowing
--- a/src/protocol/http/codec.rs
+++ b/src/protocol/http/codec.rs
@@ -96,6 +96,19 @@
         }
     }
 
+    /// The part of a message that the decoder expects next, for the log.
+    pub fn expected_part(&self) -> &'static str {
+        match self.state {
+            DecoderState::Head => "head",
+            DecoderState::FixedLength(_) | DecoderState::UntilClose => "body",
+            DecoderState::ChunkLine => "chunk size",
+            DecoderState::Chunk(_) => "chunk",
+            DecoderState::ChunkEnd => "end of a chunk",
+            DecoderState::Trailer => "trailer",
+            DecoderState::Ended => "nothing",
+        }
+    }
+
     /// Whether the decoder is outside a message; part of a head may be buffered.
     pub fn is_between_messages(&self) -> bool {
         self.state == DecoderState::Head
--- a/src/protocol/response.rs
+++ b/src/protocol/response.rs
@@ -47,6 +47,8 @@
     has_ended: bool,
     /// Bytes that are held back until the first event is complete.
     held: BytesMut,
+    /// The length of the body so far.
+    body_bytes: u64,
 }
 
 impl ResponseReader {
@@ -61,6 +63,7 @@
             has_started: false,
             has_ended: false,
             held: BytesMut::new(),
+            body_bytes: 0,
         }
     }
 
@@ -91,6 +94,7 @@
     }
 
     fn on_body(&mut self, bytes: Bytes, steps: &mut Vec<ResponseStep>) {
+        self.body_bytes += bytes.len() as u64;
         self.scanner.feed(&bytes, &self.settings);
         if self.is_event_stream && self.scanner.unfinished_event_bytes() > MAX_EVENT_BYTES {
             self.on_connection_lost(steps);
@@ -151,6 +155,15 @@
         }
     }
 
+    /// A count that grows whenever the client gets more of the answer: the events of an event stream, the bytes of another body.
+    pub fn progress(&self) -> u64 {
+        if self.is_event_stream {
+            self.scanner.event_count()
+        } else {
+            self.body_bytes
+        }
+    }
+
     /// Whether forwarding has begun.
     pub fn has_started(&self) -> bool {
         self.has_started
--- a/src/transport/replica/attempts.rs
+++ b/src/transport/replica/attempts.rs
@@ -297,9 +297,7 @@
                 ReplicaInput::Broken => forwarder.reader.on_connection_lost(&mut steps),
                 // An unreachable replica leaves its connections open but silent; the client must not be left waiting.
                 ReplicaInput::Stalled { silence_us } => {
-                    if let Some(stream) = &forwarder.stream {
-                        stream.abandon(silence_us);
-                    }
+                    forwarder.abandon(silence_us);
                     return AttemptResult::without_connection(AttemptOutcome::TimedOut);
                 }
                 ReplicaInput::NotDelivered(outcome) => {
--- a/src/transport/replica/response_forwarder.rs
+++ b/src/transport/replica/response_forwarder.rs
@@ -5,7 +5,7 @@
 
 use super::attempts::{AttemptRequest, ReplicaClient};
 use super::connection::ReplicaConnection;
-use super::stream_monitor::MonitoredStream;
+use super::stream_monitor::{MonitoredStream, StreamWaits};
 use crate::protocol::http::{HttpParseError, MessagePart};
 use crate::protocol::response::{ResponseReader, ResponseStep};
 use crate::routing::{DurationMicros, MonotonicMicros};
@@ -57,6 +57,29 @@
     chunks: Option<mpsc::Sender<StreamChunk>>,
     /// The stream in the monitor; `None` before the first token.
     pub(super) stream: Option<MonitoredStream>,
+    /// Whether the response has ended or was given up.
+    has_ended: bool,
+}
+
+impl Drop for ResponseForwarder<'_> {
+    /// Logs a stream whose client has left while it waited for an event.
+    fn drop(&mut self) {
+        let Some(stream) = self.stream.as_ref().filter(|_| !self.has_ended) else {
+            return;
+        };
+        let StreamWaits {
+            since_event_ms,
+            since_bytes_ms,
+            is_event_late,
+        } = stream.waits();
+        if is_event_late {
+            let AttemptRequest {
+                request, attempt, ..
+            } = self.attempt;
+            let from = self.attempt.address.addr;
+            tracing::info!(%request, attempt, %from, since_event_ms, since_bytes_ms, "client left while it waited for an event");
+        }
+    }
 }
 
 impl<'a> ResponseForwarder<'a> {
@@ -69,6 +92,7 @@
             keeps_connection: false,
             chunks: None,
             stream: None,
+            has_ended: false,
         }
     }
 
@@ -111,6 +135,7 @@
             stream.record_silence(connection.http().get_ref().silence());
             left_us = stream.time_to_stall().unwrap_or(0);
             if left_us == 0 {
+                self.log_stall(stream, connection);
                 return ReplicaInput::Stalled {
                     silence_us: limit_us,
                 };
@@ -118,6 +143,21 @@
         }
     }
 
+    /// Logs that the node gives a stream up, and what its replica has sent last.
+    fn log_stall(&self, stream: &MonitoredStream, connection: &ReplicaConnection) {
+        let AttemptRequest {
+            request, attempt, ..
+        } = self.attempt;
+        let StreamWaits {
+            since_event_ms,
+            since_bytes_ms,
+            ..
+        } = stream.waits();
+        let from = self.attempt.address.addr;
+        let expected = connection.http().codec().expected_part();
+        tracing::info!(%request, attempt, %from, since_event_ms, since_bytes_ms, expected, "stream given up");
+    }
+
     /// The stream, and for how long it may be silent from now on; `None` while silence is not counted.
     fn silence_limit(&self) -> Option<(&MonitoredStream, DurationMicros)> {
         let stream = self.stream.as_ref()?;
@@ -126,9 +166,6 @@
 
     /// Processes a part of the response and appends the resulting steps.
     pub(super) fn handle_part(&mut self, part: MessagePart, steps: &mut Vec<ResponseStep>) {
-        if let Some(stream) = &self.stream {
-            stream.record_event();
-        }
         if let MessagePart::Head(head) = &part {
             self.keeps_connection = head.keeps_connection;
             let AttemptRequest {
@@ -137,7 +174,15 @@
             let from = self.attempt.address.addr;
             tracing::debug!(%request, attempt, %from, start = ?head.start_line, "response begins");
         }
+        let progress = self.reader.progress();
         self.reader.feed(part, steps);
+        if let Some(stream) = &self.stream {
+            if self.reader.progress() > progress {
+                stream.record_event();
+            } else {
+                stream.record_bytes();
+            }
+        }
     }
 
     /// Offers the stream to the dispatcher once its first token has arrived.
@@ -175,9 +220,22 @@
         }
     }
 
+    /// Gives the stream up after a silence of this length.
+    pub(super) fn abandon(&mut self, silence_us: DurationMicros) {
+        self.has_ended = true;
+        if let Some(stream) = &self.stream {
+            stream.abandon(silence_us);
+        }
+    }
+
     /// Ends the stream according to the attempt's outcome. `has_response_ended` tells whether the response has ended in good
     /// form: then a broken stream leaves the connection usable. Returns whether the connection can be reused.
-    pub(super) async fn finish(&self, outcome: AttemptOutcome, has_response_ended: bool) -> bool {
+    pub(super) async fn finish(
+        &mut self,
+        outcome: AttemptOutcome,
+        has_response_ended: bool,
+    ) -> bool {
+        self.has_ended = true;
         let is_complete = outcome == AttemptOutcome::Completed;
         let is_broken = outcome == AttemptOutcome::ConnectionReset;
         if let (Some(chunks), true) = (&self.chunks, is_complete) {
--- a/src/transport/replica/stream_monitor.rs
+++ b/src/transport/replica/stream_monitor.rs
@@ -109,6 +109,18 @@
     }
 }
 
+/// For how long a stream has had no event and no byte, for the log. The time for which its client accepts no data is not
+/// counted.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamWaits {
+    /// Milliseconds since an event was last complete.
+    pub since_event_ms: u64,
+    /// Milliseconds since bytes last arrived, whether or not they completed an event.
+    pub since_bytes_ms: u64,
+    /// Whether no event has come for as long as the stream may be silent.
+    pub is_event_late: bool,
+}
+
 /// A monitored stream, from its first event on. Dropping it removes it from the active streams.
 pub struct MonitoredStream {
     monitor: Rc<StreamMonitor>,
@@ -118,7 +130,24 @@
 }
 
 impl MonitoredStream {
-    /// Records that bytes of the stream have arrived.
+    /// Records that bytes have arrived which complete no event.
+    pub fn record_bytes(&self) {
+        let now = self.monitor.now();
+        self.detector.borrow_mut().record_bytes(now);
+    }
+
+    /// For how long no event and no byte has come.
+    pub fn waits(&self) -> StreamWaits {
+        let now = self.monitor.now();
+        let detector = self.detector.borrow();
+        StreamWaits {
+            since_event_ms: detector.time_since_event(now) / MICROS_PER_MILLI,
+            since_bytes_ms: detector.time_since_bytes(now) / MICROS_PER_MILLI,
+            is_event_late: detector.is_event_late(now),
+        }
+    }
+
+    /// Records that an event is complete.
     pub fn record_event(&self) {
         let gap = self.detector.borrow_mut().record_event(self.monitor.now());
         if let Some(gap) = gap {
