Refuse a message whose trailer is longer than a head may be

Cause: each line of a trailer is bounded, their number is not, so framing could grow without end.

Change: the decoder counts a trailer's bytes and refuses more than the longest head has.

Measured: decoder_refuses_framing_that_never_ends failed before at the trailer, passes now; heads, interim responses, chunk sizes and their extensions were bounded before, too.

--- a/src/protocol/http/codec.rs
+++ b/src/protocol/http/codec.rs
@@ -2,7 +2,7 @@
 
 use super::error::HttpParseError;
 use super::framing::{body_framing, parse_chunk_size, take_line};
-use super::head::{parse_head, Head, StartLine};
+use super::head::{parse_head, Head, StartLine, MAX_HEAD_BYTES};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -11,6 +11,8 @@
 const MAX_CHUNK_BYTES: u64 = 256 * 1024;
 /// The largest number of interim responses before a final response. Without a limit they could continue forever.
 const MAX_INTERIM_RESPONSES: u32 = 16;
+/// The longest accepted trailer, in bytes. Without a limit a message could go on forever after its last chunk.
+const MAX_TRAILER_BYTES: usize = MAX_HEAD_BYTES;
 /// The end of the data of a chunk.
 const CHUNK_END: &[u8] = b"\r\n";
 /// The last chunk and an empty trailer, which end a chunked body.
@@ -84,6 +86,8 @@
     state: DecoderState,
     /// The number of interim responses since the last final one.
     interim_count: u32,
+    /// The length of the trailer so far.
+    trailer_bytes: usize,
 }
 
 impl HttpCodec {
@@ -93,6 +97,7 @@
             role,
             state: DecoderState::Head,
             interim_count: 0,
+            trailer_bytes: 0,
         }
     }
 
@@ -148,6 +153,7 @@
         if self.role == Role::Client && size > MAX_CHUNK_BYTES {
             return Err(HttpParseError::Malformed("chunk longer than an answer"));
         }
+        self.trailer_bytes = 0;
         self.state = if size == 0 {
             DecoderState::Trailer
         } else {
@@ -158,11 +164,17 @@
 
     /// Skips a line of the trailer. Returns whether the line was complete.
     fn decode_trailer_line(&mut self, buffer: &mut BytesMut) -> Result<bool, HttpParseError> {
+        let buffered_bytes = buffer.len();
         let Some(line) = take_line(buffer)? else {
             return Ok(false);
         };
         if line.is_empty() {
             self.state = DecoderState::Ended;
+            return Ok(true);
+        }
+        self.trailer_bytes += buffered_bytes - buffer.len();
+        if self.trailer_bytes > MAX_TRAILER_BYTES {
+            return Err(HttpParseError::Malformed("trailer"));
         }
         Ok(true)
     }
