Count only events with data as progress of a stream, and bound the bytes without one

Cause: the end of any block of lines counted as an event and reset the count of bytes, so bytes that bring the client nothing counted as progress.

Change: the scanner counts events with data up to the one that ends the stream, and the bytes since the last of them whatever they are; more than 64 KiB break the stream, as a longer event did. An event stream begins by such an event alone.

The body 'what is this' is now reported as a stream without an event instead of one without its end, as the name of its test says (stream_without_an_event_is_not_counted_as_served); the outcome is the same.

--- a/src/protocol/event_stream.rs
+++ b/src/protocol/event_stream.rs
@@ -51,9 +51,9 @@
 /// What the fields of the current event have shown so far.
 #[derive(Debug, Default)]
 struct CurrentEvent {
-    /// Whether the event has any field.
-    has_fields: bool,
     data_line_count: usize,
+    /// Whether a line of data is not empty.
+    has_data: bool,
     /// Whether the last line of data is that of the event that ends a stream.
     has_end_line: bool,
 }
@@ -79,7 +79,7 @@
     has_end: bool,
     /// Whether an event before the end has reported an error.
     has_error: bool,
-    unfinished_event_bytes: usize,
+    bytes_since_event: usize,
     load_report: Option<LoadReport>,
     cached_prompt_tokens: Option<f64>,
 }
@@ -90,6 +90,7 @@
         if let [first, rest @ ..] = bytes {
             if std::mem::take(&mut self.has_carriage_return) && *first == b'\n' {
                 bytes = rest;
+                self.bytes_since_event = self.bytes_since_event.saturating_add(1);
             }
         }
         while let Some(end) = bytes.iter().position(|byte| matches!(byte, b'\n' | b'\r')) {
@@ -99,7 +100,7 @@
             } else {
                 1
             };
-            self.unfinished_event_bytes = self.unfinished_event_bytes.saturating_add(ending_bytes);
+            self.bytes_since_event = self.bytes_since_event.saturating_add(ending_bytes);
             self.has_carriage_return = &bytes[end..] == b"\r";
             bytes = &bytes[end + ending_bytes..];
             self.finish_line(settings);
@@ -132,7 +133,7 @@
 
     /// Adds bytes to the current line.
     fn extend_line(&mut self, bytes: &[u8]) {
-        self.unfinished_event_bytes = self.unfinished_event_bytes.saturating_add(bytes.len());
+        self.bytes_since_event = self.bytes_since_event.saturating_add(bytes.len());
         let free_bytes = MAX_LINE_BYTES.saturating_sub(self.line.len());
         let kept_bytes = free_bytes.min(bytes.len());
         self.line.extend_from_slice(&bytes[..kept_bytes]);
@@ -153,18 +154,16 @@
             if let Some(report) = parse_comment(comment, settings) {
                 self.load_report = Some(report);
             }
-        } else {
-            self.event.has_fields = true;
-            if let Some(data) = line.strip_prefix(DATA_FIELD) {
-                self.scan_data(data.strip_prefix(b" ").unwrap_or(data));
-            } else if let Some(event_type) = line.strip_prefix(TYPE_FIELD) {
-                self.has_error |= !self.has_end && event_type.trim_ascii() == ERROR_TYPE;
-            }
+        } else if let Some(data) = line.strip_prefix(DATA_FIELD) {
+            self.scan_data(data.strip_prefix(b" ").unwrap_or(data));
+        } else if let Some(event_type) = line.strip_prefix(TYPE_FIELD) {
+            self.has_error |= !self.has_end && event_type.trim_ascii() == ERROR_TYPE;
         }
     }
 
     fn scan_data(&mut self, data: &[u8]) {
         self.event.data_line_count += 1;
+        self.event.has_data |= !data.is_empty();
         self.event.has_end_line = data == END_OF_STREAM;
         self.has_error |= !self.has_end && is_error(data);
         let tokens = parse_cached_tokens(data);
@@ -175,21 +174,22 @@
 
     fn finish_event(&mut self) {
         let event = std::mem::take(&mut self.event);
-        if event.has_fields {
+        if event.has_data && !self.has_end {
             self.event_count += 1;
+            self.bytes_since_event = 0;
         }
         self.has_end |= event.is_end();
-        self.unfinished_event_bytes = 0;
     }
 
-    /// The number of complete events with data.
+    /// The number of complete events with data, up to the one that ends the stream. Comments and other fields are no events: a
+    /// client gets nothing of an answer by them.
     pub fn event_count(&self) -> u64 {
         self.event_count
     }
 
-    /// The number of bytes since the end of the last event.
-    pub fn unfinished_event_bytes(&self) -> usize {
-        self.unfinished_event_bytes
+    /// The number of bytes since the end of the last event that counts.
+    pub fn bytes_since_event(&self) -> usize {
+        self.bytes_since_event
     }
 
     /// Whether the stream has had a load report so far.
--- a/src/protocol/response.rs
+++ b/src/protocol/response.rs
@@ -10,7 +10,7 @@
 use poppykeel_site_settings::SiteSettings;
 use std::rc::Rc;
 
-/// The longest event, in bytes. A stream with a longer event counts as broken, because it might never end.
+/// The largest number of bytes without a complete event. A stream with more counts as broken, because its event might never end.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 /// The content type of a response that states none.
 const DEFAULT_CONTENT_TYPE: &str = "text/event-stream";
@@ -96,7 +96,8 @@
     fn on_body(&mut self, bytes: Bytes, steps: &mut Vec<ResponseStep>) {
         self.body_bytes += bytes.len() as u64;
         self.scanner.feed(&bytes, &self.settings);
-        if self.is_event_stream && self.scanner.unfinished_event_bytes() > MAX_EVENT_BYTES {
+        let is_event_too_long = self.scanner.bytes_since_event() > MAX_EVENT_BYTES;
+        if self.is_event_stream && is_event_too_long {
             self.on_connection_lost(steps);
             return;
         }
@@ -105,7 +106,8 @@
             return;
         }
         self.held.extend_from_slice(&bytes);
-        if self.scanner.event_count() > 0 || self.held.len() > MAX_EVENT_BYTES {
+        let is_long_body = !self.is_event_stream && self.held.len() > MAX_EVENT_BYTES;
+        if self.scanner.event_count() > 0 || is_long_body {
             self.start(steps);
         }
     }
--- a/tests/endless_messages.rs
+++ b/tests/endless_messages.rs
@@ -3,13 +3,20 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use bytes::BytesMut;
-use poppykeel::protocol::http::{HttpCodec, Role};
+use bytes::{Bytes, BytesMut};
+use poppykeel::protocol::http::{HttpCodec, MessagePart, Role};
+use poppykeel::protocol::response::{ResponseReader, ResponseStep};
+use poppykeel_scheduler::AttemptOutcome;
+use poppykeel_site_settings::SiteSettings;
+use std::rc::Rc;
 use tokio_util::codec::Decoder;
 
+const CONFIG: &str = include_str!("exchanges/config.json");
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// More than the longest head, trailer or line.
 const MAX_FRAMING_BYTES: usize = 32 * 1024;
+/// The longest event that a node accepts.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
 
 /// Whether a client's decoder refuses a response that begins with `first` and goes on with `repeated`.
 fn is_refused(first: &str, repeated: &str, piece_bytes: usize) -> bool {
@@ -52,3 +59,68 @@
         }
     }
 }
+
+/// A reader that has read the head of an event stream.
+fn stream_reader() -> ResponseReader {
+    let config: serde_json::Value = serde_json::from_str(CONFIG).unwrap();
+    let settings = SiteSettings::parse(&config["settings"].to_string()).unwrap();
+    let mut reader = ResponseReader::new(Rc::new(settings));
+    let mut buffer = BytesMut::from(HEAD);
+    let head = HttpCodec::new(Role::Client).decode(&mut buffer).unwrap();
+    reader.feed(head.unwrap(), &mut Vec::new());
+    reader
+}
+
+/// Feeds a body of event-stream bytes in pieces, and returns all steps.
+fn feed(reader: &mut ResponseReader, body: &str, piece_bytes: usize) -> Vec<ResponseStep> {
+    let mut steps = Vec::new();
+    for piece in body.as_bytes().chunks(piece_bytes) {
+        let piece = Bytes::copy_from_slice(piece);
+        reader.feed(MessagePart::Body(piece), &mut steps);
+    }
+    steps
+}
+
+/// Bytes of an event stream that hold no event: no progress, no first token, and the stream is broken after a bounded number.
+#[test]
+fn bytes_without_an_event_are_no_progress_and_break_the_stream() {
+    for filler in [
+        ": ping\n\n",
+        ": ping\n",
+        "\n",
+        "\r",
+        "id: 1\n\n",
+        "event: ping\n\n",
+        "retry: 100\r\n\r\n",
+        "data:\n\n",
+        "data: \n\n",
+        "data: x\n",
+        "Bad Gateway\n\n",
+        "x",
+    ] {
+        for (has_event, piece_bytes) in [(false, 5), (true, 1), (true, 4096)] {
+            let mut reader = stream_reader();
+            let event = if has_event { "data: 1\n\n" } else { "" };
+            feed(&mut reader, event, 4);
+            let progress = reader.progress();
+            let body = filler.repeat(2 * MAX_EVENT_BYTES / filler.len());
+            let steps = feed(&mut reader, &body, piece_bytes);
+            let name =
+                format!("{filler:?} in pieces of {piece_bytes}, after an event: {has_event}");
+            assert_eq!(reader.progress(), progress, "{name}");
+            assert_eq!(reader.has_started(), has_event, "{name}");
+            let end = ResponseStep::Ended(AttemptOutcome::ConnectionReset, None);
+            assert!(steps.contains(&end), "{name}");
+        }
+    }
+}
+
+/// What follows the event that ends a stream is no progress either.
+#[test]
+fn events_after_the_end_of_a_stream_are_no_progress() {
+    let mut reader = stream_reader();
+    feed(&mut reader, "data: 1\n\n: comment\n\ndata: [DONE]\n\n", 1);
+    assert_eq!(reader.progress(), 2);
+    feed(&mut reader, "data: 2\n\ndata: [DONE]\n\n", 1);
+    assert_eq!(reader.progress(), 2);
+}
--- a/tests/eventless_streams.rs
+++ b/tests/eventless_streams.rs
@@ -24,6 +24,9 @@
 /// A node that stands still for this long does not end the streams whose events came meanwhile.
 const SUSPENSION: Duration = Duration::from_secs(6);
 
+/// A final answer may come this much later than its time, by the rules of the platform.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+
 /// What happens to the node while the stream is under way.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Mode {
@@ -339,3 +342,40 @@
     let found: Vec<String> = found.into_iter().collect();
     assert!(found.is_empty(), "{found:#?}");
 }
+
+/// Before the first event the request's deadline binds, whatever bytes come.
+#[test]
+fn final_answer_is_in_time_while_a_replica_sends_bytes_but_no_event() {
+    let deadline = Duration::from_secs(1);
+    std::thread::scope(|scope| {
+        let mut streams = eventless_streams();
+        streams.retain(|stream| !stream.has_end);
+        for (number, stream) in streams.into_iter().enumerate() {
+            scope.spawn(move || {
+                let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+                let node = Node::builder(&format!("no-event-{number}"))
+                    .replicas(&[listener.local_addr().unwrap()])
+                    .semantics("unsafe")
+                    .start();
+                let mut client = node.connect();
+                let request = format_request("00000000000000e2", "", "", deadline.as_secs_f64());
+                let sent_at = Instant::now();
+                client.write_all(request.as_bytes()).unwrap();
+                let mut replica = accept_request(&listener);
+                replica.write_all(HEAD.as_bytes()).unwrap();
+                let name = stream.name;
+                let writer = std::thread::spawn(move || write_stream(replica, &stream));
+                let mut answer = [0; 256];
+                let length = read_some(&mut client, &mut answer).unwrap();
+                let after = sent_at.elapsed();
+                let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+                writer.join().unwrap();
+                assert!(
+                    after <= deadline + ANSWER_SLACK,
+                    "{name}: answered after {after:?}"
+                );
+                assert!(answer.starts_with("HTTP/1.1 50"), "{name}: {answer}");
+            });
+        }
+    });
+}
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -184,7 +184,7 @@
     );
     assert_eq!(
         read_response(&["what is this"], true),
-        ended_with(IncompleteStream::EndMissing)
+        ended_with(IncompleteStream::NoEvent)
     );
     assert_eq!(
         read_response(&["x".repeat(100_000).as_str()], false),
