Give a stream up if it has no event for 4.6 s, whatever bytes its replica sends

Cause: measured the life of a stream by the last byte, so that framing that comes byte by byte is not taken for a silence. Then a chunk size, an extension or a trailer that never ends is life for ever. Comments and events that are never complete were that before.

The log lines added before show no event for 12 to 16 s beside bytes of the last 0 to 1.5 s.

It is one place, for each stream, continued or not, in a shutdown or not. Either is judged only once everything that has arrived was read, so that a suspension cuts off nothing; the bounds on trailers and on bytes without an event make sure that this comes to an end.

--- a/benches/streams.rs
+++ b/benches/streams.rs
@@ -13,7 +13,9 @@
 mod support;
 
 use oorandom::Rand64;
-use poppykeel_stream_recovery::{GapHistogram, StallDetector, StallLimits, StreamTranscript};
+use poppykeel_stream_recovery::{
+    GapHistogram, StallDetector, StallLimits, StreamLimits, StreamTranscript,
+};
 use poppykeel_stub_model_server::{
     check, ClientObservation, ClientOutcome, FaultRule, ReplyFault, ReplyScript, StubServers,
 };
@@ -276,7 +278,14 @@
     let events = 1_000_000_u64;
     let (mut gaps, mut stall_detector) = (
         GapHistogram::default(),
-        StallDetector::new(0, 3_000_000, None),
+        StallDetector::new(
+            0,
+            StreamLimits {
+                silence: 3_000_000,
+                event_gap: 4_600_000,
+            },
+            None,
+        ),
     );
     let start = Instant::now();
     for n in 0..events {
--- a/crates/stream-recovery/src/gaps.rs
+++ b/crates/stream-recovery/src/gaps.rs
@@ -2,6 +2,10 @@
 
 use crate::Micros;
 
+/// The longest time without an event, in microseconds. A client gives a stream up 5 s after its last event; the rest is for a
+/// process that is held up and for the way to the client.
+const MAX_EVENT_GAP: Micros = 4_600_000;
+
 /// Quantile of the recorded gaps that is used as the replica's long gap.
 const LONG_GAP_QUANTILE: f64 = 0.98;
 /// Upper bound of the first bucket, in microseconds. Shorter gaps are not distinguished.
@@ -28,6 +32,14 @@
     pub long_gap_factor: f64,
 }
 
+impl StallLimits {
+    /// How long a stream may go on without a complete event, whatever bytes arrive. Longer where the settings allow even a
+    /// longer silence, for clients that wait longer.
+    pub fn max_event_gap(&self) -> Micros {
+        self.max_silence.max(MAX_EVENT_GAP)
+    }
+}
+
 impl Default for StallLimits {
     fn default() -> Self {
         StallLimits {
--- a/crates/stream-recovery/src/lib.rs
+++ b/crates/stream-recovery/src/lib.rs
@@ -17,7 +17,7 @@
 pub use budget::{ContinuationBudget, ContinuationLimits};
 pub use gaps::{GapHistogram, StallLimits};
 pub use recovery::{decide_recovery, InterruptedStream, RecoveryDecision, RecoveryRefusal};
-pub use stall_detection::{StallDetector, StreamState};
+pub use stall_detection::{StallCause, StallDetector, StreamLimits, StreamState};
 pub use transcript::{ContinuationObstacle, ForwardedBytes, StreamProgress, StreamTranscript};
 
 /// A time on a monotonic clock, or a duration, in microseconds.
--- a/crates/stream-recovery/src/stall_detection.rs
+++ b/crates/stream-recovery/src/stall_detection.rs
@@ -9,7 +9,7 @@
     Flowing,
     /// The last or the current gap is longer than the replica's long gap.
     Slow,
-    /// No event has arrived for at least the silence limit.
+    /// No byte has arrived for the silence limit, or no event for the event limit.
     Stalled,
     /// The replica closed the stream before it was complete.
     Broken,
@@ -19,6 +19,29 @@
     Completed,
 }
 
+/// Why a stream counts as stalled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StallCause {
+    /// No byte has arrived for the silence limit.
+    #[error("the replica is silent")]
+    Silence {
+        /// The silence limit.
+        limit: Micros,
+    },
+    /// Bytes arrive, but no event has been complete for the event limit.
+    #[error("the replica's bytes complete no event")]
+    NoEvent,
+}
+
+/// How long a stream may go on without what its client waits for. The stream stalls as soon as either limit is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamLimits {
+    /// The longest time without any byte.
+    pub silence: Micros,
+    /// The longest time without a complete event, whatever bytes arrive.
+    pub event_gap: Micros,
+}
+
 /// Detects stalls of one stream.
 #[derive(Clone, Debug)]
 pub struct StallDetector {
@@ -26,7 +49,7 @@
     last_event_at: Micros,
     /// When bytes last arrived, or when the client last began to accept data again.
     last_bytes_at: Micros,
-    silence_limit: Micros,
+    limits: StreamLimits,
     /// The replica's long gap; `None` if unknown.
     long_gap: Option<Micros>,
     /// Since when the client has not accepted data; `None` while it does.
@@ -37,13 +60,12 @@
 }
 
 impl StallDetector {
-    /// Creates a detector when the first event arrives. A silence of `silence_limit` is a stall; `long_gap` is that of
-    /// the replica, `None` if unknown.
-    pub fn new(now: Micros, silence_limit: Micros, long_gap: Option<Micros>) -> Self {
+    /// Creates a detector when the first event arrives. `long_gap` is that of the replica, `None` if unknown.
+    pub fn new(now: Micros, limits: StreamLimits, long_gap: Option<Micros>) -> Self {
         StallDetector {
             last_event_at: now,
             last_bytes_at: now,
-            silence_limit,
+            limits,
             long_gap,
             client_blocked_since: None,
             has_long_gap: false,
@@ -79,7 +101,7 @@
 
     /// Whether no event has come for as long as the stream may be silent.
     pub fn is_event_late(&self, now: Micros) -> bool {
-        self.time_since_event(now) >= self.silence_limit
+        self.time_since_event(now) >= self.limits.silence
     }
 
     /// Records that the client does not accept data. From now on, silence is not attributed to the replica.
@@ -107,11 +129,26 @@
         self.end.get_or_insert(end);
     }
 
-    /// The time at which the stream counts as stalled if no event arrives before; `None` while the client is blocked
-    /// and after the end.
+    /// The time at which the stream counts as stalled if neither bytes nor an event arrive before; `None` while the client is
+    /// blocked and after the end.
     pub fn stall_deadline(&self) -> Option<Micros> {
         let is_watched = self.end.is_none() && self.client_blocked_since.is_none();
-        is_watched.then(|| self.last_bytes_at.saturating_add(self.silence_limit))
+        let silence_deadline = self.last_bytes_at.saturating_add(self.limits.silence);
+        let event_deadline = self.last_event_at.saturating_add(self.limits.event_gap);
+        is_watched.then(|| silence_deadline.min(event_deadline))
+    }
+
+    /// Why the stream counts as stalled at `now`; `None` if it does not. Input that has arrived must have been read and
+    /// recorded before.
+    pub fn stall_cause(&self, now: Micros) -> Option<StallCause> {
+        if self.stall_deadline()? > now {
+            return None;
+        }
+        let limit = self.limits.silence;
+        if self.time_since_bytes(now) >= limit {
+            return Some(StallCause::Silence { limit });
+        }
+        Some(StallCause::NoEvent)
     }
 
     /// The state at `now`, which includes the current gap; the final state if the stream has ended.
@@ -121,7 +158,7 @@
         }
         if self.client_blocked_since.is_some() {
             StreamState::ClientSlow
-        } else if self.time_since_bytes(now) >= self.silence_limit {
+        } else if self.stall_cause(now).is_some() {
             StreamState::Stalled
         } else if self.has_long_gap || self.is_long(self.time_since_event(now)) {
             StreamState::Slow
--- a/src/transport/replica/attempts.rs
+++ b/src/transport/replica/attempts.rs
@@ -295,9 +295,9 @@
             match forwarder.read(&mut connection).await {
                 ReplicaInput::Part(part) => forwarder.handle_part(part, &mut steps),
                 ReplicaInput::Broken => forwarder.reader.on_connection_lost(&mut steps),
-                // An unreachable replica leaves its connections open but silent; the client must not be left waiting.
-                ReplicaInput::Stalled { silence_us } => {
-                    forwarder.abandon(silence_us);
+                // An unreachable replica leaves its connections open; the client must not be left waiting.
+                ReplicaInput::Stalled(cause) => {
+                    forwarder.abandon(cause);
                     return AttemptResult::without_connection(AttemptOutcome::TimedOut);
                 }
                 ReplicaInput::NotDelivered(outcome) => {
--- a/src/transport/replica/response_forwarder.rs
+++ b/src/transport/replica/response_forwarder.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use poppykeel_scheduler::AttemptOutcome;
+use poppykeel_stream_recovery::StallCause;
 use std::time::Duration;
 use tokio::sync::mpsc::{self, error::TrySendError};
 
@@ -28,8 +29,8 @@
     Part(MessagePart),
     /// The connection has ended or failed, or its bytes are not valid HTTP.
     Broken,
-    /// No bytes have arrived for longer than a stream of this replica may be silent.
-    Stalled { silence_us: DurationMicros },
+    /// The stream has stalled.
+    Stalled(StallCause),
     /// The replica had not taken the whole request by the attempt's write deadline. The attempt ends with this outcome.
     NotDelivered(AttemptOutcome),
 }
@@ -119,32 +120,38 @@
         ReplicaInput::NotDelivered(AttemptOutcome::ConnectionReset)
     }
 
-    /// Reads the next input, for as long as the stream may be silent. Cancel-safe: the codec keeps what it has read.
+    /// Reads the next input, for as long as the stream may go on without bytes and without an event. Cancel-safe: the codec
+    /// keeps what it has read.
     async fn read_next(&self, connection: &mut ReplicaConnection) -> ReplicaInput {
-        let Some((stream, limit_us)) = self.silence_limit() else {
-            return ReplicaInput::from_read(connection.http_mut().next().await);
-        };
-        let mut left_us = limit_us;
         loop {
+            let Some((stream, left_us)) = self.time_to_stall() else {
+                return ReplicaInput::from_read(connection.http_mut().next().await);
+            };
             let left = Duration::from_micros(left_us);
             if let Ok(read) = tokio::time::timeout(left, connection.http_mut().next()).await {
                 return ReplicaInput::from_read(read);
             }
-            // A timer alone does not show a silence: bytes may wait in the kernel, since the process stood still, or may have
-            // completed no part yet.
-            stream.record_silence(connection.http().get_ref().silence());
-            left_us = stream.time_to_stall().unwrap_or(0);
-            if left_us == 0 {
-                self.log_stall(stream, connection);
-                return ReplicaInput::Stalled {
-                    silence_us: limit_us,
-                };
+            // A timer alone does not show a stall: after the process stood still, an event may wait in the kernel. The codec and
+            // the reader accept a bounded number of bytes without an event, so reading all of them comes to an end.
+            let Some(silence) = connection.http().get_ref().silence() else {
+                tokio::task::yield_now().await;
+                continue;
+            };
+            stream.record_silence(silence);
+            if let Some(cause) = stream.stall_cause() {
+                self.log_stall(stream, cause, connection);
+                return ReplicaInput::Stalled(cause);
             }
         }
     }
 
     /// Logs that the node gives a stream up, and what its replica has sent last.
-    fn log_stall(&self, stream: &MonitoredStream, connection: &ReplicaConnection) {
+    fn log_stall(
+        &self,
+        stream: &MonitoredStream,
+        cause: StallCause,
+        connection: &ReplicaConnection,
+    ) {
         let AttemptRequest {
             request, attempt, ..
         } = self.attempt;
@@ -155,11 +162,11 @@
         } = stream.waits();
         let from = self.attempt.address.addr;
         let expected = connection.http().codec().expected_part();
-        tracing::info!(%request, attempt, %from, since_event_ms, since_bytes_ms, expected, "stream given up");
+        tracing::info!(%request, attempt, %from, why = %cause, since_event_ms, since_bytes_ms, expected, "stream given up");
     }
 
-    /// The stream, and for how long it may be silent from now on; `None` while silence is not counted.
-    fn silence_limit(&self) -> Option<(&MonitoredStream, DurationMicros)> {
+    /// The stream, and the time until it counts as stalled; `None` before its first event.
+    fn time_to_stall(&self) -> Option<(&MonitoredStream, DurationMicros)> {
         let stream = self.stream.as_ref()?;
         Some((stream, stream.time_to_stall()?))
     }
@@ -220,11 +227,11 @@
         }
     }
 
-    /// Gives the stream up after a silence of this length.
-    pub(super) fn abandon(&mut self, silence_us: DurationMicros) {
+    /// Gives the stream up.
+    pub(super) fn abandon(&mut self, cause: StallCause) {
         self.has_ended = true;
         if let Some(stream) = &self.stream {
-            stream.abandon(silence_us);
+            stream.abandon(cause);
         }
     }
 
--- a/src/transport/replica/stream_monitor.rs
+++ b/src/transport/replica/stream_monitor.rs
@@ -9,7 +9,8 @@
 use crate::transport::clock::Clock;
 use poppykeel_scheduler::ReplicaId;
 use poppykeel_stream_recovery::{
-    ContinuationBudget, ContinuationLimits, GapHistogram, StallDetector, StallLimits, StreamState,
+    ContinuationBudget, ContinuationLimits, GapHistogram, StallCause, StallDetector, StallLimits,
+    StreamLimits, StreamState,
 };
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -163,7 +164,12 @@
         self.detector.borrow_mut().record_bytes(at);
     }
 
-    /// Time until the stream counts as stalled if no bytes arrive; `None` while silence is not counted.
+    /// Why the stream counts as stalled now; `None` if it does not. Input that has arrived must have been read.
+    pub fn stall_cause(&self) -> Option<StallCause> {
+        self.detector.borrow().stall_cause(self.monitor.now())
+    }
+
+    /// Time until the stream counts as stalled if neither bytes nor an event arrive; `None` while its client is blocked.
     pub fn time_to_stall(&self) -> Option<DurationMicros> {
         let deadline = self.detector.borrow().stall_deadline();
         deadline.map(|deadline| deadline.saturating_sub(self.monitor.now()))
@@ -181,10 +187,13 @@
         self.detector.borrow_mut().client_resumed(now);
     }
 
-    /// Records that the stream is abandoned after a silence of this length.
-    pub fn abandon(&self, silence_us: DurationMicros) {
+    /// Records that the stream is abandoned. Only a silence counts as a gap: the limit on the time without an event is not
+    /// learned.
+    pub fn abandon(&self, cause: StallCause) {
         self.monitor.with_replica(self.replica, |streams| {
-            streams.gaps.record_abandoned(silence_us);
+            if let StallCause::Silence { limit } = cause {
+                streams.gaps.record_abandoned(limit);
+            }
             streams.stalled_count += 1;
         });
         self.monitor
@@ -302,10 +311,14 @@
         }
         let detector = self.with_replica(replica, |streams| {
             streams.begun_count += 1;
-            let silence_limit = streams
-                .gaps
-                .silence_limit(inter_token_objective, &settings.stall_limits);
-            StallDetector::new(now, silence_limit, streams.gaps.long_gap())
+            let stall_limits = &settings.stall_limits;
+            let limits = StreamLimits {
+                silence: streams
+                    .gaps
+                    .silence_limit(inter_token_objective, stall_limits),
+                event_gap: stall_limits.max_event_gap(),
+            };
+            StallDetector::new(now, limits, streams.gaps.long_gap())
         });
         let detector = Rc::new(RefCell::new(detector));
         let number = self.next_number.get();
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -74,12 +74,13 @@
         uninterrupted(|| socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]))
     }
 
-    /// How long nothing has arrived: zero if the kernel has input that was not read yet, otherwise the time since the last read.
-    /// After the process stood still, or within a message whose bytes come one by one, this tells whether the peer is silent.
-    pub fn silence(&self) -> Duration {
+    /// The time since the last read if everything that has arrived was read; `None` if the kernel has input that was not read
+    /// yet. After the process stood still, or within a message whose bytes come one by one, this tells whether the peer is
+    /// silent.
+    pub fn silence(&self) -> Option<Duration> {
         match self.unread() {
-            Err(e) if e.kind() == ErrorKind::WouldBlock => self.last_read_at.elapsed(),
-            Ok(_) | Err(_) => Duration::ZERO,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => Some(self.last_read_at.elapsed()),
+            Ok(_) | Err(_) => None,
         }
     }
 
