Begin the continuation of a stream, or fail it, before its client gives up

Cause: the wait for a continuation began when the stream was given up, and nobody counted what the client had waited already.

Change: the connection's recovery knows when its client last got an event. A continuation may take until 4.85 s after that (0.25 s beyond the limit on the time without an event), and none is begun when that time is over (RecoveryRefusal::TooLate).

Tests of streams, foreign events and completeness pass.

--- a/crates/stream-recovery/src/gaps.rs
+++ b/crates/stream-recovery/src/gaps.rs
@@ -5,6 +5,8 @@
 /// The longest time without an event, in microseconds. A client gives a stream up 5 s after its last event; the rest is for a
 /// process that is held up and for the way to the client.
 const MAX_EVENT_GAP: Micros = 4_600_000;
+/// How much later than the event limit a client still gets the event of a continuation in time, in microseconds.
+const CONTINUATION_MARGIN: Micros = 250_000;
 
 /// Quantile of the recorded gaps that is used as the replica's long gap.
 const LONG_GAP_QUANTILE: f64 = 0.98;
@@ -38,6 +40,11 @@
     pub fn max_event_gap(&self) -> Micros {
         self.max_silence.max(MAX_EVENT_GAP)
     }
+
+    /// How long a client can wait for the next event of a stream that is continued on another replica.
+    pub fn max_client_wait(&self) -> Micros {
+        self.max_event_gap() + CONTINUATION_MARGIN
+    }
 }
 
 impl Default for StallLimits {
--- a/crates/stream-recovery/src/recovery.rs
+++ b/crates/stream-recovery/src/recovery.rs
@@ -1,6 +1,7 @@
 //! Decides how to end an interrupted stream: complete it, continue it on another replica, or fail it.
 
 use crate::transcript::{ContinuationObstacle, StreamTranscript};
+use crate::Micros;
 
 /// A stream that has stalled or broken.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -15,6 +16,8 @@
     pub is_client_connected: bool,
     /// Whether the node is shutting down.
     pub is_shutting_down: bool,
+    /// How much longer the client waits for the next event.
+    pub client_wait_left: Micros,
 }
 
 /// How to end an interrupted stream.
@@ -43,6 +46,9 @@
     /// The node is shutting down.
     #[error("the node is ending")]
     ShuttingDown,
+    /// The client would give up before a continuation could begin.
+    #[error("its client waits no longer")]
+    TooLate,
     /// The stream has reached the maximum number of continuations.
     #[error("it has been continued as often as may be")]
     TooManyContinuations,
@@ -83,6 +89,9 @@
     if stream.is_shutting_down {
         return RecoveryDecision::Fail(RecoveryRefusal::ShuttingDown);
     }
+    if stream.client_wait_left == 0 {
+        return RecoveryDecision::Fail(RecoveryRefusal::TooLate);
+    }
     if stream.continuations >= max_continuations {
         return RecoveryDecision::Fail(RecoveryRefusal::TooManyContinuations);
     }
--- a/crates/stream-recovery/src/transcript.rs
+++ b/crates/stream-recovery/src/transcript.rs
@@ -84,10 +84,20 @@
     pub bytes: Vec<u8>,
     /// Number of complete events processed, including empty ones that were omitted.
     pub event_count: usize,
+    /// Whether the bytes hold an event with data.
+    pub has_data: bool,
     /// Number of bytes dropped: from a replica of an earlier epoch, or after the end of the stream.
     pub dropped_bytes: usize,
 }
 
+impl ForwardedBytes {
+    /// Appends an event with this data.
+    fn add_event(&mut self, event: &[u8], data: &str) {
+        self.bytes.extend_from_slice(event);
+        self.has_data |= !data.is_empty();
+    }
+}
+
 /// Transcript of one client's stream.
 #[derive(Clone, Debug)]
 pub struct StreamTranscript {
@@ -188,7 +198,7 @@
                 continue;
             }
             forwarded.event_count += 1;
-            self.forward_event(&event, &mut forwarded.bytes);
+            self.forward_event(&event, &mut forwarded);
         }
         self.partial_event.drain(..start);
         if self.partial_event.len() > MAX_EVENT_BYTES {
@@ -203,7 +213,7 @@
         self.dropped_bytes += count as u64;
     }
 
-    fn forward_event(&mut self, event: &[u8], output: &mut Vec<u8>) {
+    fn forward_event(&mut self, event: &[u8], forwarded: &mut ForwardedBytes) {
         let EventFields {
             data,
             has_error_type,
@@ -214,7 +224,7 @@
         }
         if data == END_OF_STREAM {
             self.progress = StreamProgress::Done;
-            output.extend_from_slice(event);
+            forwarded.add_event(event, &data);
             return;
         }
         // An event whose JSON is not an object is no chunk and is forwarded unchanged.
@@ -222,17 +232,17 @@
             if !data.is_empty() {
                 self.obstacle.get_or_insert(ContinuationObstacle::NotAChunk);
             }
-            output.extend_from_slice(event);
+            forwarded.add_event(event, &data);
             return;
         };
         self.record_chunk(&chunk);
         if self.epoch == 0 {
-            output.extend_from_slice(event);
+            forwarded.add_event(event, &data);
             return;
         }
         self.rewrite_chunk(&mut chunk);
         if !is_empty_chunk(&chunk) {
-            output.extend_from_slice(format_event(chunk).as_bytes());
+            forwarded.add_event(format_event(chunk).as_bytes(), &data);
         }
     }
 
--- a/crates/stream-recovery/tests/recovery.rs
+++ b/crates/stream-recovery/tests/recovery.rs
@@ -17,6 +17,7 @@
         continuations: 0,
         is_client_connected: true,
         is_shutting_down: false,
+        client_wait_left: 1,
     }
 }
 
@@ -80,6 +81,21 @@
     }
 }
 
+#[test]
+fn does_not_continue_a_stream_whose_client_waits_no_longer() {
+    let stream = InterruptedStream {
+        client_wait_left: 0,
+        ..interrupted_stream()
+    };
+    let decision = decide_recovery(
+        &stream,
+        &started_transcript(),
+        &request_body(),
+        panic_if_budget_consulted,
+    );
+    assert_eq!(decision, RecoveryDecision::Fail(RecoveryRefusal::TooLate));
+}
+
 #[test]
 fn continues_only_within_the_budget() {
     let transcript = started_transcript();
--- a/src/transport/client/connection/streams.rs
+++ b/src/transport/client/connection/streams.rs
@@ -66,8 +66,11 @@
         loop {
             match self.until_disconnected(chunks.recv()).await? {
                 Some(StreamChunk::Bytes(bytes)) => {
-                    let bytes = recovery.forward(&bytes);
-                    self.send_chunk(bytes).await?;
+                    let forwarded = recovery.forward(&bytes);
+                    self.send_chunk(forwarded.bytes.into()).await?;
+                    if forwarded.has_data {
+                        recovery.record_event_sent();
+                    }
                     continue;
                 }
                 Some(StreamChunk::End) => {
--- a/src/transport/replica/stream_monitor.rs
+++ b/src/transport/replica/stream_monitor.rs
@@ -274,7 +274,8 @@
         self.counters.set(counters);
     }
 
-    fn now(&self) -> MonotonicMicros {
+    /// The current time of the monitor's clock.
+    pub fn now(&self) -> MonotonicMicros {
         self.clock.now()
     }
 
--- a/src/transport/replica/stream_recovery.rs
+++ b/src/transport/replica/stream_recovery.rs
@@ -8,14 +8,17 @@
 use crate::protocol::event_stream::is_event_stream;
 use crate::protocol::http::Head;
 use crate::protocol::request;
+use crate::routing::{DurationMicros, MonotonicMicros};
 use crate::transport::messages::RequestPayload;
 use bytes::Bytes;
 use poppykeel_scheduler::{Idempotency, IncomingRequest, ReplicaId, RequestId};
 use poppykeel_site_settings::SiteSettings;
 use poppykeel_stream_recovery::{
-    decide_recovery, InterruptedStream, RecoveryDecision, RecoveryRefusal, StreamTranscript,
+    decide_recovery, ForwardedBytes, InterruptedStream, RecoveryDecision, RecoveryRefusal,
+    StreamTranscript,
 };
 use std::rc::Rc;
+use std::time::Duration;
 
 /// A client's request whose stream has begun.
 pub struct StreamedRequest {
@@ -42,6 +45,8 @@
     continuation_count: u32,
     /// The replica that sends the stream now.
     replica: ReplicaId,
+    /// When the client was last sent an event.
+    last_event_at: MonotonicMicros,
 }
 
 /// A request for the remainder of a stream.
@@ -85,6 +90,7 @@
             is_idempotent,
             continuation_count: 0,
             replica: streamed.replica,
+            last_event_at: monitor.now(),
         })
     }
 
@@ -93,8 +99,8 @@
         self.request.id
     }
 
-    /// Adds bytes from the replica to the transcript and returns those to send to the client now.
-    pub fn forward(&mut self, bytes: &Bytes) -> Bytes {
+    /// Adds bytes from the replica to the transcript and returns what to send to the client now.
+    pub fn forward(&mut self, bytes: &Bytes) -> ForwardedBytes {
         let epoch = self.transcript.epoch();
         let forwarded = self.transcript.forward(epoch, bytes);
         if forwarded.dropped_bytes > 0 {
@@ -102,7 +108,19 @@
                 counters.discarded_bytes += forwarded.dropped_bytes as u64;
             });
         }
-        forwarded.bytes.into()
+        forwarded
+    }
+
+    /// Records that an event has been sent to the client.
+    pub fn record_event_sent(&mut self) {
+        self.last_event_at = self.monitor.now();
+    }
+
+    /// How much longer the client waits for the next event.
+    fn client_wait_left(&self) -> DurationMicros {
+        let max_wait = self.monitor.settings().stall_limits.max_client_wait();
+        let waited = self.monitor.now().saturating_sub(self.last_event_at);
+        max_wait.saturating_sub(waited)
     }
 
     /// Removes and returns the bytes of an incomplete last event. They are sent to the client once the stream is complete.
@@ -126,6 +144,7 @@
             continuations: self.continuation_count,
             is_client_connected: true,
             is_shutting_down,
+            client_wait_left: self.client_wait_left(),
         };
         let try_take = || {
             self.monitor
@@ -156,7 +175,8 @@
         request.id = RequestId(continuation_id(self.request.id.0, epoch));
         request.prompt_tokens += tokens;
         request.max_output_tokens = request.max_output_tokens.saturating_sub(tokens).max(1);
-        request.time_left = request.time_left.min(self.settings.max_wait.as_secs_f64());
+        let max_wait = Duration::from_micros(self.client_wait_left()).min(self.settings.max_wait);
+        request.time_left = request.time_left.min(max_wait.as_secs_f64());
         request.is_client_retry = false;
         tracing::info!(request = %self.request.id, next = %request.id, epoch, tokens, "stream continued");
         self.request = request.clone();
--- a/tests/eventless_streams.rs
+++ b/tests/eventless_streams.rs
@@ -10,7 +10,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
-use support::{accept_request, format_request, read_some, Node};
+use support::{accept_request, format_request, read_some, send_request, Node};
 
 const HEAD: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -379,3 +379,36 @@
         }
     });
 }
+
+/// A continuation that does not begin: the client gets an error event and the end before it gives up.
+#[test]
+fn continuation_fails_before_the_client_gives_up() {
+    let comment = chunk(": ping\n\n");
+    std::thread::scope(|scope| {
+        for (number, bytes) in ["", "0", &comment].into_iter().enumerate() {
+            let stream = endless("continuation", "", bytes, 100);
+            scope.spawn(move || {
+                let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+                let node = Node::builder(&format!("no-continuation-{number}"))
+                    .replicas(&[listener.local_addr().unwrap()])
+                    .operator("[streams]\ncontinue = true\n")
+                    .start();
+                let (_, mut client) = send_request(&node, "continued", 9);
+                let mut interrupted = accept_request(&listener);
+                interrupted.write_all(HEAD.as_bytes()).unwrap();
+                let last_event_at = Instant::now();
+                interrupted.write_all(chunk(EVENT).as_bytes()).unwrap();
+                let mut continuation = accept_request(&listener);
+                continuation.write_all(HEAD.as_bytes()).unwrap();
+                let writer = std::thread::spawn(move || write_stream(continuation, &stream));
+                let mut text = String::new();
+                client.read_to_string(&mut text).unwrap();
+                let after = last_event_at.elapsed();
+                drop(node);
+                writer.join().unwrap();
+                assert!(text.contains("stream_broken"), "{text}");
+                assert!(after < CLIENT_PATIENCE, "ended after {after:?}: {text}");
+            });
+        }
+    });
+}
