Give up an answer of discovery that comes byte by byte, and poll again

A service that sends a body byte by byte kept the node from polling again; its list counts as incomplete meanwhile, but where replicas can't be probed requests go by the old list after 3 s, and the change that was being told may be a drain.

Change: from its first byte on, an answer may take 2 s and the time that its body takes at 256 KB a second; then it is given up as incomplete, and polled again at once on a new connection, as one that stops.

Measured: answer_that_comes_byte_by_byte_is_given_up_and_one_in_pieces_is_used failed before (no second poll while the answer came, 20 s), passes now; its other half, an answer in pieces 0.2 s apart, is used. Tests of the watcher, of confirmation and of stale lists pass.

--- a/src/transport/endpoints/poll.rs
+++ b/src/transport/endpoints/poll.rs
@@ -1,7 +1,7 @@
 //! One poll of the discovery service: an HTTP request for the endpoint list and its response on one connection.
 //!
-//! This module has timeouts only for connecting and for gaps in a response: the watcher limits the total time of an
-//! exchange, and drops the exchange if the service moves. A dropped exchange leaves the connection in the middle of a
+//! This module has timeouts only for connecting and for a response that has begun: the watcher limits the total time of an
+//! exchange, which may be long because the service delays its answer, and drops the exchange if the service moves. A dropped exchange leaves the connection in the middle of a
 //! message, so the connection must be dropped with it.
 
 use crate::protocol::discovery::{parse_endpoint_list, EndpointListError, EndpointListResponse};
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
 /// Maximum length of a response body.
@@ -24,6 +25,13 @@
 /// once the response has begun, so the limit leaves time for another poll within the drain grace.
 const MAX_RESPONSE_GAP: Duration = Duration::from_millis(300);
 
+/// A response that has begun must be complete within this time, and the time that its body takes at
+/// [`MIN_TRANSFER_BYTES_PER_MILLI`]. Otherwise a service that sends it byte by byte would keep the node from polling again.
+const MAX_RESPONSE_TIME: Duration = Duration::from_secs(2);
+
+/// The rate at which a long list must arrive, in bytes per millisecond.
+const MIN_TRANSFER_BYTES_PER_MILLI: usize = 256;
+
 /// Status of a response with a list.
 const STATUS_OK: u16 = 200;
 
@@ -48,6 +56,12 @@
     /// The response stopped for [`MAX_RESPONSE_GAP`].
     #[error("response stalled for {} ms", MAX_RESPONSE_GAP.as_millis())]
     Stalled,
+    /// The response had begun, but took longer than [`MAX_RESPONSE_TIME`] and its length allow.
+    #[error("response of {received_bytes} bytes so far is too slow")]
+    TooSlow {
+        /// The length of the body so far.
+        received_bytes: usize,
+    },
     /// The connection failed before the response was complete, or the response is not valid HTTP.
     #[error("{0}")]
     Incomplete(HttpParseError),
@@ -88,6 +102,7 @@
             self,
             PollError::ClosedMidResponse
                 | PollError::Stalled
+                | PollError::TooSlow { .. }
                 | PollError::Incomplete(_)
                 | PollError::Json(_)
                 | PollError::List(_)
@@ -164,7 +179,8 @@
 /// Reads a response that has begun, with any status.
 ///
 /// # Errors
-/// Fails if the connection fails, stalls or closes before the response is complete, or if the response is too long.
+/// Fails if the connection fails, stalls or closes before the response is complete, or if the response is too slow or too
+/// long.
 pub(super) async fn read_response(
     connection: &mut HttpConnection,
 ) -> Result<PollResponse, PollError> {
@@ -173,10 +189,20 @@
         body: Vec::new(),
         keeps_connection: false,
     };
+    let began_at = Instant::now();
     loop {
-        let part = tokio::time::timeout(MAX_RESPONSE_GAP, connection.next())
-            .await
-            .map_err(|_| PollError::Stalled)?;
+        let deadline = began_at + max_transfer_time(response.body.len());
+        let stall_at = Instant::now() + MAX_RESPONSE_GAP;
+        let part = tokio::time::timeout_at(deadline.min(stall_at), connection.next()).await;
+        let Ok(part) = part else {
+            return Err(if deadline < stall_at {
+                PollError::TooSlow {
+                    received_bytes: response.body.len(),
+                }
+            } else {
+                PollError::Stalled
+            });
+        };
         match part {
             Some(Ok(MessagePart::Head(head))) => {
                 response.keeps_connection = head.keeps_connection;
@@ -198,6 +224,12 @@
     }
 }
 
+/// How long a response may take of whose body this much has arrived.
+fn max_transfer_time(received_bytes: usize) -> Duration {
+    let body_millis = received_bytes / MIN_TRANSFER_BYTES_PER_MILLI;
+    MAX_RESPONSE_TIME + Duration::from_millis(body_millis as u64)
+}
+
 impl PollResponse {
     /// Checks that the response's status is 200.
     ///
--- a/tests/endpoint_watcher.rs
+++ b/tests/endpoint_watcher.rs
@@ -11,7 +11,7 @@
 use support::watcher::{answer, next_poll, next_update, start_watcher, DRAIN, NO_CHANGES};
 use support::TEST_TIMEOUT;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
 
 /// Guards against requests to draining endpoints: the watcher must repeat an unanswered poll by itself, before it reports a
@@ -56,6 +56,47 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Writes an answer with its body in pieces of this size, with this pause after each. Stops when the watcher has closed the
+/// connection.
+async fn answer_in_pieces(stream: &mut TcpStream, body: &str, size: usize, pause: Duration) {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for piece in body.as_bytes().chunks(size) {
+        if stream.write_all(piece).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Guards against a service that keeps the watcher busy with an answer that comes byte by byte, while a replica drains: the
+/// watcher must poll again. An answer in a few pieces is used.
+#[tokio::test]
+async fn answer_that_comes_byte_by_byte_is_given_up_and_one_in_pieces_is_used() {
+    let test = async {
+        let (service, _watcher, mut messages) = start_watcher(Duration::from_secs(30), false).await;
+        let (mut dribbled, _) = next_poll(&service, None).await;
+        let pause = Duration::from_millis(100);
+        let dribble = async {
+            answer_in_pieces(&mut dribbled, DRAIN, 1, pause).await;
+            // The whole answer was read: there is no second poll until the next one is due.
+            std::future::pending::<()>().await;
+        };
+        let (mut reconnected, text) = tokio::select! {
+            () = dribble => unreachable!("the future never ends"),
+            poll = next_poll(&service, None) => poll,
+        };
+        assert!(text.contains("since=41&timeout_ms=0 "), "{text}");
+        let size = 40;
+        answer_in_pieces(&mut reconnected, DRAIN, size, pause * 2).await;
+        let SourceUpdate::Changes(changes) = next_update(&mut messages).await else {
+            panic!("a failure was reported")
+        };
+        assert_eq!(changes[0].name, "s-1");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against a thundering herd on an unresponsive service: the watcher repeats an unanswered poll once, and then waits
 /// until the scheduler starts it again.
 #[tokio::test]
