Let the soak draw streams that go on without events, slow streams, and continuation

For a slow stream the limit on the response is asked of its first byte instead of its last; for others it stays the last.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -2,8 +2,9 @@
 //! that keep using a connection until the node closes it or is killed. A seed determines the faults of a run.
 //!
 //! Each run records what clients, replicas and discovery observed. `checker` then checks the rules: every request gets its
-//! final response, a draining replica gets no request after the drain grace, no attempt starts for a client that has
-//! disconnected, and no request of a class with semantics `unsafe` runs twice.
+//! final response, a stream without events ends before its client gives up and a slow one is not cut off, a draining replica gets
+//! no request after the drain grace, no attempt starts for a client that has disconnected, and no request of a class with
+//! semantics `unsafe` runs twice.
 //!
 //! `cargo test --test soak` runs a few seeds. To run others:
 //!
@@ -19,6 +20,7 @@
 mod records;
 mod replicas;
 mod run;
+mod streams;
 #[path = "../support/mod.rs"]
 mod support;
 
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -45,8 +45,14 @@
         }
     }
 
-    /// Writes the configuration with this endpoint list and discovery address.
+    fn operator_file(&self) -> PathBuf {
+        self.config.with_extension("toml")
+    }
+
+    /// Writes the configuration with this endpoint list and discovery address, and the operator file.
     pub fn write_config(&self, known: &Value, discovery: SocketAddr) {
+        let operator = format!("[streams]\ncontinue = {}\n", self.plan.continues_streams);
+        std::fs::write(self.operator_file(), operator).unwrap();
         let config = json!({
             "name": "n0", "listen": self.addr.to_string(), "discovery": discovery.to_string(), "seed": "7",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
@@ -72,6 +78,8 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_poppykeel"))
             .args(["serve", "--config"])
             .arg(&self.config)
+            .arg("--operator")
+            .arg(self.operator_file())
             .env_remove("GW_DISCOVERY")
             .env_remove("GW_LISTEN")
             .stderr(Stdio::piped())
@@ -167,5 +175,6 @@
         self.kill();
         // A leftover file is harmless.
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(self.operator_file());
     }
 }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -85,6 +85,12 @@
     pub has_hanging_replica: bool,
     pub faults: Vec<FaultWindow>,
     pub actions: Vec<PlannedAction>,
+    /// Fraction of the streams whose events come slowly.
+    pub slow_stream_share: f64,
+    /// Fraction of the streams that go on without events.
+    pub spoilt_stream_share: f64,
+    /// Whether the operators allow streams to be continued.
+    pub continues_streams: bool,
     pub ends: Duration,
 }
 
@@ -108,6 +114,9 @@
             has_hanging_replica: rng.rand_float() < 0.4,
             faults: draw_faults(&mut rng, allows_probes),
             actions: draw_actions(&mut rng),
+            slow_stream_share: [0.0, 0.02, 0.05][rng.rand_range(0..3) as usize],
+            spoilt_stream_share: [0.0, 0.02, 0.05][rng.rand_range(0..3) as usize],
+            continues_streams: rng.rand_float() < 0.3,
             ends: seconds(LAST_ACTION_S + 4.5),
         }
     }
--- a/tests/soak/records.rs
+++ b/tests/soak/records.rs
@@ -1,5 +1,6 @@
 //! Records of what clients, replicas and discovery observed. Times are since the start of the run.
 
+use super::streams::StreamKind;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,10 @@
     pub ended_at: Duration,
     pub deadline: Duration,
     pub end: ClientEnd,
+    /// When the first byte of its response arrived.
+    pub answered_at: Option<Duration>,
+    /// When the last event of its stream arrived.
+    pub last_event_at: Option<Duration>,
     /// Whether it was the first request on its connection.
     pub is_first: bool,
 }
@@ -38,6 +43,8 @@
     pub received_at: Duration,
     /// The deadline that the node sent with the request, as time from `received_at`.
     pub deadline: Duration,
+    /// The stream with which the replica responds, unless it declines.
+    pub stream: StreamKind,
     /// Whether the replica declined it without running it.
     pub is_declined: bool,
 }
