End an admin call of the command line 3 s after its connection, whatever comes

Change: one time limit for the request and the whole response.

Measured: admin_call_ends_although_its_answer_does_not failed before (the command read all 150 bytes, 15 s), passes now.

--- a/src/program/fleet/admin_call.rs
+++ b/src/program/fleet/admin_call.rs
@@ -1,12 +1,15 @@
 //! An HTTP client for requests to the admin address of a node.
 
+use crate::transport::socket::uninterrupted;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// The time limit for connecting and for each read. A node either answers an admin request within a second or does not
-/// answer at all.
+/// The time limit for connecting, and for sending the request and reading the whole response. A node either answers an admin
+/// request within a second or does not answer at all.
 const TIMEOUT: Duration = Duration::from_secs(3);
+/// The number of bytes read at once.
+const READ_BYTES: usize = 16 * 1024;
 
 /// Why an admin request failed.
 #[derive(Debug, thiserror::Error)]
@@ -52,15 +55,27 @@
     }
 }
 
-/// Sends a request and reads the response until the connection ends.
+/// Sends a request and reads the response until the connection ends, within the time limit.
 fn exchange(admin: SocketAddr, request: &str) -> io::Result<String> {
     let mut stream = TcpStream::connect_timeout(&admin, TIMEOUT)?;
-    stream.set_read_timeout(Some(TIMEOUT))?;
+    let deadline = Instant::now() + TIMEOUT;
+    stream.set_write_timeout(Some(TIMEOUT))?;
     write!(
         stream,
         "{request} HTTP/1.1\r\nHost: {admin}\r\nContent-Length: 0\r\n\r\n"
     )?;
-    let mut response = String::new();
-    stream.read_to_string(&mut response)?;
-    Ok(response)
+    let mut response = Vec::new();
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        stream.set_read_timeout(Some(remaining))?;
+        match uninterrupted(|| stream.read(&mut buffer))? {
+            0 => break,
+            length => response.extend_from_slice(&buffer[..length]),
+        }
+    }
+    String::from_utf8(response).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
 }
--- a/tests/endless_messages.rs
+++ b/tests/endless_messages.rs
@@ -8,13 +8,19 @@
 use poppykeel::protocol::response::{ResponseReader, ResponseStep};
 use poppykeel_scheduler::AttemptOutcome;
 use poppykeel_site_settings::SiteSettings;
+use std::io::Write;
+use std::net::TcpListener;
+use std::process::Command;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio_util::codec::Decoder;
 
 const CONFIG: &str = include_str!("exchanges/config.json");
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// More than the longest head, trailer or line.
 const MAX_FRAMING_BYTES: usize = 32 * 1024;
+/// What the answer of an admin address has that sends it byte by byte: far more than arrives within the time of a call.
+const MAX_ANSWER_BYTES: usize = 150;
 /// The longest event that a node accepts.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 
@@ -124,3 +130,29 @@
     feed(&mut reader, "data: 2\n\ndata: [DONE]\n\n", 1);
     assert_eq!(reader.progress(), 2);
 }
+
+/// `poppykeel fleet status` at an admin address that answers byte by byte ends within its time.
+#[test]
+fn admin_call_ends_although_its_answer_does_not() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let admin = listener.local_addr().unwrap().to_string();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut sent_bytes = 0;
+        while sent_bytes < MAX_ANSWER_BYTES && stream.write_all(b"x").is_ok() {
+            sent_bytes += 1;
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        sent_bytes
+    });
+    let output = Command::new(env!("CARGO_BIN_EXE_poppykeel"))
+        .args(["fleet", "status", "--admin", &admin])
+        .output()
+        .unwrap();
+    assert!(!output.status.success());
+    let sent_bytes = server.join().unwrap();
+    assert!(
+        sent_bytes < MAX_ANSWER_BYTES,
+        "the call read the whole answer"
+    );
+}
