Test the final answer in a shutdown while a replica reads a large request slowly

Played for a shutdown, with a deadline of 60 s, safe and unsafe: the answer comes before the earliest SIGKILL. A guard: it passes on this code, nothing was mended.

--- a/tests/slow_replicas.rs
+++ b/tests/slow_replicas.rs
@@ -19,6 +19,8 @@
 /// The longest body.
 const BODY_BYTES: usize = 256 * 1024;
 const DEADLINE_S: f64 = 1.5;
+/// The earliest SIGKILL after SIGTERM where the longest deadline is 3 s or more, by the rules of the platform.
+const EARLIEST_KILL: Duration = Duration::from_millis(3700);
 /// A final answer may come this much later than its time, by the rules of the platform.
 const ANSWER_SLACK_S: f64 = 0.5;
 
@@ -158,3 +160,31 @@
         }
     });
 }
+
+/// The same in a shutdown: a request whose deadline is far away gets its final answer before the earliest SIGKILL.
+#[test]
+fn final_answer_comes_in_a_shutdown_while_a_replica_reads_a_large_request_slowly() {
+    std::thread::scope(|scope| {
+        for semantics in ["safe", "unsafe"] {
+            scope.spawn(move || {
+                let node = Node::builder(&format!("reader-shutdown-{semantics}"))
+                    .semantics(semantics)
+                    .replicas(&[start_slow_reader()])
+                    .start();
+                let mut client = node.connect();
+                client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+                let body = "x".repeat(BODY_BYTES);
+                let request = format_request("00000000000000c3", "", &body, 60.0);
+                client.write_all(request.as_bytes()).unwrap();
+                node.signal("-TERM");
+                let stopped_at = Instant::now();
+                let mut answer = [0; 256];
+                let length = read_some(&mut client, &mut answer).unwrap();
+                let after = stopped_at.elapsed();
+                let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+                assert!(answer.starts_with("HTTP/1.1 50"), "{answer}");
+                assert!(after < EARLIEST_KILL, "answered after {after:?}: {answer}");
+            });
+        }
+    });
+}
