Name a report's interval only by the clocks of enough members of the fleet

Cause: the holder took the median of the clocks that answered within 125 ms. If only its own did, under load or because the others were stopped, the median was its own clock, however wrong.

Change: the holder remembers each member's clock by its difference to its own monotonic clock, for 60 s, also from answers that come late. It names an interval once it knows the clocks of all known members (the lease servers among them), or after 2 s of a majority; until then the interval is left out and logged.

--- a/src/transport/coordination/mod.rs
+++ b/src/transport/coordination/mod.rs
@@ -24,6 +24,7 @@
 mod boot_clock;
 pub mod budgets;
 mod event_loop;
+mod fleet_clock;
 mod log_writer;
 mod messaging;
 mod outlier_probing;
--- a/src/transport/coordination/report.rs
+++ b/src/transport/coordination/report.rs
@@ -2,8 +2,9 @@
 //!
 //! The collector accepts a report only under an epoch that is not lower than the highest it has seen, and one report per
 //! interval. Intervals are numbered by wall clock time. Since any node's wall clock may be wrong, the lease holder uses the
-//! median of all nodes' clocks.
+//! median of all nodes' clocks, and leaves a report out while it knows too few of them ([`FleetClock`]).
 
+use super::fleet_clock::{FleetClock, TooFewClocks};
 use super::{CoordinationDriver, ReportSettings};
 use crate::protocol::admin::NodeMetrics;
 use crate::transport::messages::{query, DispatcherQuery};
@@ -13,7 +14,7 @@
 use poppykeel_coordination::Micros;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -53,14 +54,17 @@
     outcomes: Cell<ReportOutcomes>,
     /// The number of the last report, which distinguishes figures for different reports.
     report_number: Cell<u64>,
-    /// How far this node's wall clock was behind the median of all nodes' clocks at its last report, in microseconds.
-    wall_clock_lag: Cell<i64>,
+    fleet_clock: RefCell<FleetClock>,
     figures: RefCell<FiguresByNode>,
 }
 
 impl ReportDriver {
-    /// Adds a node's figures, if they are for the report in progress.
+    /// Records a node's clock, and adds its figures if they are for the report in progress.
     pub(super) fn add_figures(&self, node: &str, report_number: u64, figures: NodeFigures) {
+        let now = Instant::now().into_std();
+        self.fleet_clock
+            .borrow_mut()
+            .record(node, figures.wall_clock, now);
         if report_number == self.report_number.get() {
             self.figures.borrow_mut().insert(node.into(), figures);
         }
@@ -76,11 +80,6 @@
         self.outcomes.set(outcomes);
     }
 
-    /// This node's wall clock, corrected by its lag behind the median at the last report; in microseconds of Unix time.
-    fn fleet_wall_clock(&self) -> u64 {
-        wall_clock().saturating_add_signed(self.wall_clock_lag.get())
-    }
-
     /// Begins a report and returns its number.
     fn start(&self) -> u64 {
         self.report_number.set(self.report_number.get() + 1);
@@ -102,15 +101,6 @@
     u64::try_from(adjusted).unwrap_or(0)
 }
 
-/// How far a clock is behind the median of all clocks, in microseconds. The median keeps a clock that is wrong by a year
-/// from determining the number of the report interval.
-fn lag_behind_median(own: u64, figures: &FiguresByNode) -> i64 {
-    let mut clocks: Vec<u64> = figures.values().map(|node| node.wall_clock).collect();
-    clocks.sort_unstable();
-    let median = clocks.get(clocks.len() / 2);
-    median.map_or(0, |median| *median as i64 - own as i64)
-}
-
 impl CoordinationDriver {
     /// Requests the lease, and sends a report once per interval while holding it. Runs until the process ends.
     pub(super) async fn run_report(self: Rc<Self>, settings: ReportSettings) {
@@ -118,8 +108,9 @@
         let interval = Duration::from_micros(settings.interval);
         let mut last_slot = 0;
         loop {
-            let into_interval = self.report.fleet_wall_clock() % settings.interval;
-            let until_next = settings.interval - into_interval;
+            // Without the fleet's time, this node's clock tells when to ask for the others' clocks, but names no interval.
+            let time = self.fleet_time().unwrap_or_else(|_| wall_clock());
+            let until_next = settings.interval - time % settings.interval;
             tokio::time::sleep(Duration::from_micros(until_next)).await;
             if self.held_epoch(LEASE_TASK).is_none() {
                 continue;
@@ -127,11 +118,13 @@
             let figures = self
                 .collect_figures(FIGURES_TIMEOUT.min(interval / 4))
                 .await;
-            let lag = lag_behind_median(wall_clock(), &figures);
-            self.report.wall_clock_lag.set(lag);
-            // The interval is numbered by the fleet's clock, even for the first report, since this node's own clock may be a
-            // year ahead.
-            let slot = self.report.fleet_wall_clock() / settings.interval;
+            let slot = match self.fleet_time() {
+                Ok(time) => time / settings.interval,
+                Err(why) => {
+                    tracing::info!(%why, "the fleet's report is left out for this interval");
+                    continue;
+                }
+            };
             if slot == last_slot {
                 continue;
             }
@@ -147,6 +140,17 @@
         }
     }
 
+    /// The fleet's time, in microseconds of Unix time. The members are those of the membership and the lease servers, which this
+    /// node knows even before the membership has found them.
+    fn fleet_time(&self) -> Result<u64, TooFewClocks> {
+        let node = self.node.borrow();
+        let mut members: BTreeSet<String> = node.lease_servers().keys().cloned().collect();
+        members.extend(node.peers().into_iter().map(|peer| peer.name));
+        members.insert(self.settings.node.name.clone());
+        let mut clock = self.report.fleet_clock.borrow_mut();
+        clock.now(&members, Instant::now().into_std())
+    }
+
     /// Sends a report and counts its outcome. The lease is checked before each step: connecting to the collector may take
     /// until after its end.
     async fn send_report(&self, collector: SocketAddr, epoch: Epoch, slot: u64, body: &str) {
