--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -19,24 +19,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::{read_response, send_request, Node};
+use support::{free_address, read_response, send_request, Node};
 
 /// Time limit of each wait for a node.
 const TEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Number of tokens of a stub server's response.
 const TOKENS: usize = 3;
 
-/// An address whose port is free for both UDP and TCP.
-fn free_address() -> SocketAddr {
-    loop {
-        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-        let address = socket.local_addr().unwrap();
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Path of a folder for one test, which does not exist yet.
 fn test_folder(name: &str) -> PathBuf {
     std::env::temp_dir().join(format!("fleet-{name}-{}", std::process::id()))
--- a/tests/fleet_report_clock.rs
+++ b/tests/fleet_report_clock.rs
@@ -6,10 +6,10 @@
 mod support;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use support::{Node, TEST_TIMEOUT};
+use support::{free_address, Node, TEST_TIMEOUT};
 
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Long enough to be held while all other nodes are stopped.
@@ -20,17 +20,6 @@
 /// Reports that are awaited while the other nodes are stopped; the old node sent them at once.
 const ALONE_REPORTS: usize = 5;
 
-/// An address whose port is free for both UDP and TCP.
-fn free_address() -> SocketAddr {
-    loop {
-        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-        let address = socket.local_addr().unwrap();
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 fn lease_folder(name: &str) -> PathBuf {
     std::env::temp_dir().join(format!("report-clock-{name}-{}", std::process::id()))
 }
--- a/tests/late_fleet_report.rs
+++ b/tests/late_fleet_report.rs
@@ -5,25 +5,16 @@
 
 mod support;
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
-use support::{expect_no_bytes, is_connecting_to, start_full_listener, wait_until, Node};
+use support::{
+    expect_no_bytes, free_address, is_connecting_to, start_full_listener, wait_until, Node,
+};
 
 /// The length of leases of the nodes.
 const LEASE: Duration = Duration::from_millis(500);
 
-/// An address whose port is free for both UDP and TCP.
-fn free_address() -> SocketAddr {
-    loop {
-        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-        let address = socket.local_addr().unwrap();
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// The folder of the lease server's log.
 fn lease_folder() -> PathBuf {
     std::env::temp_dir().join(format!("late-report-{}", std::process::id()))
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! `node` starts the process, `client` sends requests and reads responses, `stub_replica` accepts requests and polls
 //! for tests that write the responses themselves, `drainable_replica` has a replica that can drain and a scripted discovery
-//! service, `full_listener` delays connections, and `watcher` runs the endpoint watcher without a node.
+//! service, `free_address` finds addresses for the nodes of a fleet, `full_listener` delays connections, and `watcher` runs the
+//! endpoint watcher without a node.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 #![allow(
@@ -13,6 +14,7 @@
 
 mod client;
 mod drainable_replica;
+mod free_address;
 mod full_listener;
 pub mod http_head;
 mod node;
@@ -23,6 +25,7 @@
     format_request, read_response, read_some, run_clients, send_request, send_request_within,
 };
 pub use drainable_replica::{DrainableReplica, PollAnswer, ScriptedDiscovery};
+pub use free_address::free_address;
 pub use full_listener::{
     endpoint_entry, expect_no_bytes, expect_no_request, is_connecting_to, start_full_listener,
 };
